--- a/configuration/commands.go
+++ b/configuration/commands.go
@@ -7,7 +7,7 @@
 
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -95,12 +95,12 @@
 }
 
 // Replied takes in the table's reply to one of the calls.
-func (t *Tracker) Replied(now time.Time, r platform.Reply, out *Output) {
+func (t *Tracker) Replied(now time.Time, r storage.Reply, out *Output) {
 	i := slices.IndexFunc(t.polls, func(p poll) bool { return p.number == r.Number })
 	if i >= 0 {
 		t.slow = now.Sub(t.polls[i].sent) >= slowCall
 		t.polls = slices.Delete(t.polls, i, i+1)
-		if r.Fate == platform.Done && len(r.Rows) == 1 {
+		if r.Fate == storage.Done && len(r.Rows) == 1 {
 			t.learn(now, r.Rows[0], out)
 		}
 	}
@@ -112,7 +112,7 @@
 
 // learn takes in the table's row. A row behind the version in force comes from
 // a stale replica and changes nothing.
-func (t *Tracker) learn(now time.Time, row platform.Row, out *Output) (Document, error) {
+func (t *Tracker) learn(now time.Time, row storage.Row, out *Output) (Document, error) {
 	var d Document
 	if row.Version > 0 {
 		var err error
@@ -182,7 +182,7 @@
 	if len(t.polls) >= maxPolls {
 		return
 	}
-	t.polls = append(t.polls, poll{number: t.call(out, platform.Call{Get: []string{t.cfg.Key}}), sent: now})
+	t.polls = append(t.polls, poll{number: t.call(out, storage.Call{Get: []string{t.cfg.Key}}), sent: now})
 }
 
 // pollPeriod is longer with more instances near, which tell each other what
@@ -202,7 +202,7 @@
 }
 
 // call numbers c, appends it and returns its number.
-func (t *Tracker) call(out *Output, c platform.Call) uint64 {
+func (t *Tracker) call(out *Output, c storage.Call) uint64 {
 	t.lastCall++
 	c.Number = t.lastCall
 	out.Calls = append(out.Calls, c)
--- a/configuration/tracker.go
+++ b/configuration/tracker.go
@@ -7,7 +7,7 @@
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // How far a new version is to be announced by heartbeats sent at once.
@@ -38,7 +38,7 @@
 	// before it passes it in again.
 	Output struct {
 		// Calls go to the platform's table.
-		Calls []platform.Call
+		Calls []storage.Call
 		// Requests are the instances to ask by message.ConfigurationRequest.
 		Requests []instance.Ref
 		// Deliveries go out as message.Configuration.
@@ -130,7 +130,7 @@
 		base uint64
 		// doubtful tells that a write may have taken effect unseen.
 		doubtful bool
-		write    platform.Write
+		write    storage.Write
 		document Document
 	}
 )
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -27,7 +27,7 @@
 		queue  []happening
 		random func(n int) int
 		// history holds every value of the row; its index is the row's version.
-		history  []platform.Row
+		history  []storage.Row
 		nodes    []*node
 		answers  map[string]Answer
 		problems []string
@@ -61,7 +61,7 @@
 	w := &world{
 		now:      epoch,
 		random:   random,
-		history:  []platform.Row{{Key: key}},
+		history:  []storage.Row{{Key: key}},
 		answers:  map[string]Answer{},
 		callTime: 5 * time.Millisecond,
 		cut:      map[string]bool{},
@@ -207,9 +207,9 @@
 }
 
 // table carries out a call with the faults of the moment.
-func (w *world) table(nd *node, c platform.Call) {
+func (w *world) table(nd *node, c storage.Call) {
 	incarnation := nd.self.Incarnation
-	reply := func(d time.Duration, r platform.Reply) {
+	reply := func(d time.Duration, r storage.Reply) {
 		r.Number = c.Number
 		w.after(d, func() {
 			if nd.self.Incarnation == incarnation {
@@ -219,9 +219,9 @@
 	}
 	if w.down || w.platform[nd.self.DataCentre] {
 		if w.random(2) == 0 {
-			reply(hop, platform.Reply{Fate: platform.NotApplied})
+			reply(hop, storage.Reply{Fate: storage.NotApplied})
 		} else {
-			reply(2*time.Second, platform.Reply{Fate: platform.Doubtful})
+			reply(2*time.Second, storage.Reply{Fate: storage.Doubtful})
 		}
 		return
 	}
@@ -235,26 +235,26 @@
 		case !lost:
 			reply(w.callTime-before, r)
 		case w.random(2) == 0:
-			reply(w.callTime-before, platform.Reply{Fate: platform.Doubtful})
+			reply(w.callTime-before, storage.Reply{Fate: storage.Doubtful})
 		}
 	})
 }
 
-func (w *world) effect(c platform.Call, stale bool) platform.Reply {
+func (w *world) effect(c storage.Call, stale bool) storage.Reply {
 	last := w.history[len(w.history)-1]
 	if len(c.Get) > 0 {
 		if stale {
 			last = w.history[w.random(len(w.history))]
 		}
-		return platform.Reply{Rows: []platform.Row{last}}
+		return storage.Reply{Rows: []storage.Row{last}}
 	}
 	write := c.Insert[0]
 	if write.Version != last.Version {
-		return platform.Reply{Rows: []platform.Row{last}, Applied: []bool{false}}
+		return storage.Reply{Rows: []storage.Row{last}, Applied: []bool{false}}
 	}
-	row := platform.Row{Key: key, Value: write.Value, Version: last.Version + 1}
+	row := storage.Row{Key: key, Value: write.Value, Version: last.Version + 1}
 	w.history = append(w.history, row)
-	return platform.Reply{Rows: []platform.Row{row}, Applied: []bool{true}}
+	return storage.Reply{Rows: []storage.Row{row}, Applied: []bool{true}}
 }
 
 // settled reports what is wrong once all faults are over and time has passed.
--- a/configuration/writer.go
+++ b/configuration/writer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/fault"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -54,7 +54,7 @@
 	}
 	p := t.pending[0]
 	if p.stage != resting && now.Sub(p.sent) > t.cfg.CallTimeout {
-		t.advance(now, p, platform.Reply{Number: p.number, Fate: platform.Doubtful}, out)
+		t.advance(now, p, storage.Reply{Number: p.number, Fate: storage.Doubtful}, out)
 	}
 	if p.stage == resting && !p.resume.After(now) {
 		t.resume(now, p, out)
@@ -64,19 +64,19 @@
 func (t *Tracker) resume(now time.Time, p *pending, out *Output) {
 	p.stage = p.next
 	p.sent = now
-	c := platform.Call{Get: []string{t.cfg.Key}}
+	c := storage.Call{Get: []string{t.cfg.Key}}
 	if p.stage == writing {
-		c = platform.Call{Insert: []platform.Write{p.write}}
+		c = storage.Call{Insert: []storage.Write{p.write}}
 	}
 	p.number = t.call(out, c)
 }
 
 // advance takes in the reply to the call of the change under way.
-func (t *Tracker) advance(now time.Time, p *pending, r platform.Reply, out *Output) {
-	if r.Fate != platform.Done || len(r.Rows) != 1 {
+func (t *Tracker) advance(now time.Time, p *pending, r storage.Reply, out *Output) {
+	if r.Fate != storage.Done || len(r.Rows) != 1 {
 		// A write whose effect is in doubt is made again: its condition lets
 		// it take effect once, and the row shows whether it did.
-		p.doubtful = p.doubtful || p.stage == writing && r.Fate != platform.NotApplied
+		p.doubtful = p.doubtful || p.stage == writing && r.Fate != storage.NotApplied
 		t.rest(now, p, p.stage)
 		return
 	}
@@ -131,7 +131,7 @@
 		return
 	}
 	p.document = next
-	p.write = platform.Write{Condition: platform.Condition{Key: t.cfg.Key, Version: row}, Value: value}
+	p.write = storage.Write{Condition: storage.Condition{Key: t.cfg.Key, Version: row}, Value: value}
 	p.stage, p.next, p.resume = resting, writing, now
 	t.resume(now, p, out)
 }
--- a/entry/commands.go
+++ b/entry/commands.go
@@ -10,7 +10,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // configurationCall marks the numbers of the configuration's calls to the
@@ -116,7 +116,7 @@
 }
 
 // StoreReplied takes in the reply to a call of Actions.Calls.
-func (m *Machine) StoreReplied(now time.Time, r platform.Reply, out *Actions) {
+func (m *Machine) StoreReplied(now time.Time, r storage.Reply, out *Actions) {
 	if r.Number&configurationCall != 0 {
 		r.Number &^= configurationCall
 		m.configurationReplied(now, r, out)
--- a/entry/failures_test.go
+++ b/entry/failures_test.go
@@ -13,7 +13,7 @@
 	"github.com/lovagecrank/lovagecrank/entry"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // load submits a job of n tasks to a live instance every interval, as a
@@ -207,7 +207,7 @@
 	for _, n := range w.nodes {
 		is.Equal(n.machine.View(w.now).Configuration.Version, uint64(2))
 	}
-	w.faults.storeFate = platform.NotApplied
+	w.faults.storeFate = storage.NotApplied
 	w.nodes[3].dead = true
 	again := w.add(instance.Ref{DataCentre: "dc-1", ID: "i-1-1", Incarnation: 2})
 	is.True(again.machine.Ready() != nil) // it knows nothing yet
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -10,7 +10,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/submission"
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -51,7 +51,7 @@
 		stopping bool
 		// selfListed tells that the platform's last list has this instance.
 		selfListed bool
-		circuit    *platform.Circuit
+		circuit    *storage.Circuit
 		// versions are the configuration versions that peers told, by id.
 		versions   map[string]uint64
 		statistics statistics
@@ -116,7 +116,7 @@
 		Starts   []Start
 		Stops    []Stop
 		Messages []message.Message
-		Calls    []platform.Call
+		Calls    []storage.Call
 		Replies  []submission.Reply
 		// Changes are the ends of changes of the configuration.
 		Changes []configuration.Answer
@@ -140,7 +140,7 @@
 		estimator:  task.NewEstimator(s.Estimator),
 		listed:     map[string]endpoint.Info{},
 		running:    map[task.Ref]run{},
-		circuit:    platform.NewCircuit(s.Seed),
+		circuit:    storage.NewCircuit(s.Seed),
 		versions:   map[string]uint64{},
 		statistics: newStatistics(),
 	}
--- a/entry/machine_test.go
+++ b/entry/machine_test.go
@@ -11,7 +11,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // Example runs two instances of one data centre on a virtual clock. A job with
@@ -114,7 +114,7 @@
 	is := is.New(t)
 	w := newWorld(4, 1, 1, 1)
 	w.run(3 * time.Second)
-	w.faults.storeFate = platform.NotApplied
+	w.faults.storeFate = storage.NotApplied
 	w.run(10 * time.Second)
 	n := w.nodes[0]
 	is.Equal(n.machine.View(w.now).StoreReachable, false)
@@ -124,7 +124,7 @@
 	before := w.storeCalls
 	w.run(time.Minute)
 	is.True(w.storeCalls-before <= 30) // a probe each 4 s, with jitter, and no more
-	w.faults.storeFate = platform.Done
+	w.faults.storeFate = storage.Done
 	w.run(8 * time.Second)
 	is.True(n.machine.View(w.now).StoreReachable)
 }
--- a/entry/property_test.go
+++ b/entry/property_test.go
@@ -12,7 +12,7 @@
 	"github.com/lovagecrank/lovagecrank/entry"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // settleTime is how long a sound system needs to answer whatever is open.
@@ -131,7 +131,7 @@
 }
 
 func (w *world) drawStore(t *rapid.T) {
-	w.faults.storeFate = rapid.SampledFrom([]platform.Fate{platform.Done, platform.NotApplied, platform.Doubtful}).Draw(t, "fate")
+	w.faults.storeFate = rapid.SampledFrom([]storage.Fate{storage.Done, storage.NotApplied, storage.Doubtful}).Draw(t, "fate")
 	w.faults.storeDelay = rapid.SampledFrom([]time.Duration{0, 5 * time.Second}).Draw(t, "delay")
 	w.run(w.drawTime(t, 3*time.Second))
 }
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -11,7 +11,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/submission"
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -213,9 +213,9 @@
 
 // callForConfiguration hands out a call if the circuit, which all callers of
 // the store share, allows it. Otherwise the call ends as not applied.
-func (m *Machine) callForConfiguration(now time.Time, c platform.Call, out *Actions) {
+func (m *Machine) callForConfiguration(now time.Time, c storage.Call, out *Actions) {
 	if !m.circuit.Allow(now) {
-		m.configuration.Replied(now, platform.Reply{Number: c.Number, Fate: platform.NotApplied}, &m.fromConfiguration)
+		m.configuration.Replied(now, storage.Reply{Number: c.Number, Fate: storage.NotApplied}, &m.fromConfiguration)
 		return
 	}
 	c.Number |= configurationCall
@@ -223,11 +223,11 @@
 }
 
 // configurationReplied tells the circuit and the configuration of a reply.
-func (m *Machine) configurationReplied(now time.Time, r platform.Reply, out *Actions) {
+func (m *Machine) configurationReplied(now time.Time, r storage.Reply, out *Actions) {
 	switch {
-	case r.Fate == platform.Done && m.circuit.Succeeded():
+	case r.Fate == storage.Done && m.circuit.Succeeded():
 		out.Events = append(out.Events, event.Record{Kind: event.StoreUp})
-	case r.Fate != platform.Done && m.circuit.Failed(now):
+	case r.Fate != storage.Done && m.circuit.Failed(now):
 		out.Events = append(out.Events, event.Record{Kind: event.StoreDown})
 	}
 	m.configuration.Replied(now, r, &m.fromConfiguration)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -14,7 +14,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 	"github.com/lovagecrank/lovagecrank/team"
 )
@@ -31,7 +31,7 @@
 		nodes  []*node
 		byID   map[string][]*node
 		listed []endpoint.Info
-		rows   map[string]platform.Row
+		rows   map[string]storage.Row
 		rng    *rand.Rand
 		// starts counts the starts of each task at the endpoints.
 		starts  map[task.Ref]int
@@ -58,7 +58,7 @@
 		// cut holds pairs of data centres, in the order of the message.
 		cut map[[2]string]bool
 		// storeFate and storeDelay apply to each call.
-		storeFate  platform.Fate
+		storeFate  storage.Fate
 		storeDelay time.Duration
 		// lostMessages and lostAnswers are shares, from 0 to 1.
 		lostMessages, lostAnswers float64
@@ -107,7 +107,7 @@
 func newWorld(seed uint64, dataCentres, instances, endpoints int) *world {
 	w := &world{
 		now:     time.Date(2026, 7, 1, 12, 0, 0, 0, time.UTC),
-		rows:    map[string]platform.Row{},
+		rows:    map[string]storage.Row{},
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		byID:    map[string][]*node{},
 		takers:  map[uint64]*node{},
@@ -124,7 +124,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.rows["configuration"] = platform.Row{Key: "configuration", Value: value, Version: 1}
+	w.rows["configuration"] = storage.Row{Key: "configuration", Value: value, Version: 1}
 	for dc := range dataCentres {
 		name := fmt.Sprintf("dc-%d", dc)
 		for i := range endpoints {
@@ -262,12 +262,12 @@
 }
 
 // store carries out a call. One of doubtful fate may or may not take effect.
-func (w *world) store(n *node, c platform.Call) {
+func (w *world) store(n *node, c storage.Call) {
 	w.storeCalls++
-	r := platform.Reply{Number: c.Number, Fate: w.faults.storeFate}
-	if r.Fate == platform.Done || r.Fate == platform.Doubtful && w.rng.IntN(2) == 0 {
+	r := storage.Reply{Number: c.Number, Fate: w.faults.storeFate}
+	if r.Fate == storage.Done || r.Fate == storage.Doubtful && w.rng.IntN(2) == 0 {
 		applied := w.apply(c)
-		if r.Fate == platform.Done {
+		if r.Fate == storage.Done {
 			r = applied
 		}
 	}
@@ -276,8 +276,8 @@
 	})
 }
 
-func (w *world) apply(c platform.Call) platform.Reply {
-	r := platform.Reply{Number: c.Number}
+func (w *world) apply(c storage.Call) storage.Reply {
+	r := storage.Reply{Number: c.Number}
 	for _, key := range c.Get {
 		row := w.rows[key]
 		row.Key = key
@@ -287,7 +287,7 @@
 		row := w.rows[write.Key]
 		ok := row.Version == write.Version
 		if ok {
-			row = platform.Row{Key: write.Key, Value: write.Value, Version: row.Version + 1}
+			row = storage.Row{Key: write.Key, Value: write.Value, Version: row.Version + 1}
 			w.rows[write.Key] = row
 		}
 		r.Rows = append(r.Rows, row)
--- a/metric/set.go
+++ b/metric/set.go
@@ -11,7 +11,7 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // Set holds the metrics of one instance. A nil set observes nothing.
@@ -27,7 +27,7 @@
 
 const (
 	outcomes = int(endpoint.Lost) + 1
-	fates    = int(platform.Doubtful) + 1
+	fates    = int(storage.Doubtful) + 1
 )
 
 var (
@@ -83,7 +83,7 @@
 }
 
 // StoreCall observes a call to the platform's table.
-func (s *Set) StoreCall(f platform.Fate, took time.Duration) {
+func (s *Set) StoreCall(f storage.Fate, took time.Duration) {
 	if s != nil && int(f) < fates {
 		s.storeCalls[f].Inc()
 		s.storeSeconds.Observe(took.Seconds())
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 var update = flag.Bool("update", false, "write docs/METRICS.md")
@@ -41,7 +41,7 @@
 	})
 	s.Replies("caller")("/v1/jobs", 200, time.Millisecond)
 	s.Start(endpoint.Lost, time.Second)
-	s.StoreCall(platform.Doubtful, time.Second)
+	s.StoreCall(storage.Doubtful, time.Second)
 	s.Event(event.Record{Kind: event.Started})
 	w := httptest.NewRecorder()
 	s.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
--- a/serve/driver.go
+++ b/serve/driver.go
@@ -15,7 +15,7 @@
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/metric"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/trace"
 )
 
@@ -37,7 +37,7 @@
 
 	// Table carries out calls to the platform's table.
 	Table interface {
-		Do(ctx context.Context, c platform.Call) platform.Reply
+		Do(ctx context.Context, c storage.Call) storage.Reply
 	}
 
 	// Peers carries messages to other instances. Send never blocks and hands
@@ -179,7 +179,7 @@
 	})
 }
 
-func (d *driver) do(c platform.Call) {
+func (d *driver) do(c storage.Call) {
 	begun := time.Now()
 	r := d.table.Do(d.ctx, c)
 	d.metrics.StoreCall(r.Fate, time.Since(begun))
--- a/serve/fleet_test.go
+++ b/serve/fleet_test.go
@@ -16,9 +16,9 @@
 	"github.com/lovagecrank/lovagecrank/class"
 	"github.com/lovagecrank/lovagecrank/configuration"
 	"github.com/lovagecrank/lovagecrank/endpoint"
-	"github.com/lovagecrank/lovagecrank/platform"
 	"github.com/lovagecrank/lovagecrank/settings"
 	"github.com/lovagecrank/lovagecrank/standin"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/store"
 	"github.com/lovagecrank/lovagecrank/task"
 	"github.com/lovagecrank/lovagecrank/team"
@@ -101,8 +101,8 @@
 	}
 	c := store.New(store.Config{Addresses: []netip.AddrPort{address}})
 	defer c.Close()
-	r := c.Do(f.t.Context(), platform.Call{Insert: []platform.Write{{Condition: platform.Condition{Key: "configuration"}, Value: value}}})
-	if r.Fate != platform.Done {
+	r := c.Do(f.t.Context(), storage.Call{Insert: []storage.Write{{Condition: storage.Condition{Key: "configuration"}, Value: value}}})
+	if r.Fate != storage.Done {
 		f.t.Fatal("the configuration was not written")
 	}
 }
--- a/platform/batcher.go
+++ b/storage/batcher.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"slices"
--- a/store/client.go
+++ b/store/client.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -64,7 +64,7 @@
 
 	// response is what came of a request.
 	response struct {
-		fate   platform.Fate
+		fate   storage.Fate
 		status int
 		body   []byte
 		tag    string
@@ -103,15 +103,15 @@
 func (c *Client) send(ctx context.Context, r request) response {
 	ctx, cancel := context.WithTimeout(ctx, c.call)
 	defer cancel()
-	last := response{fate: platform.NotApplied, err: errors.New("no address of the platform is set")}
+	last := response{fate: storage.NotApplied, err: errors.New("no address of the platform is set")}
 	first := int(c.current.Load())
 	for i := range c.addresses {
 		at := (first + i) % len(c.addresses)
 		last = c.sendTo(ctx, c.addresses[at], r)
-		if last.fate == platform.Done {
+		if last.fate == storage.Done {
 			c.current.Store(int32(at))
 		}
-		if last.fate != platform.NotApplied || ctx.Err() != nil {
+		if last.fate != storage.NotApplied || ctx.Err() != nil {
 			return last
 		}
 	}
@@ -121,7 +121,7 @@
 func (c *Client) sendTo(ctx context.Context, address netip.AddrPort, r request) response {
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+address.String()+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return response{fate: platform.NotApplied, err: err}
+		return response{fate: storage.NotApplied, err: err}
 	}
 	// The transport must not send a request again that may have had effect.
 	req.GetBody = nil
@@ -138,10 +138,10 @@
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
 	if err != nil {
-		return response{fate: platform.Doubtful, err: err}
+		return response{fate: storage.Doubtful, err: err}
 	}
 	if len(body) > maxReplyBytes {
-		return response{fate: platform.Doubtful, err: errTooLarge}
+		return response{fate: storage.Doubtful, err: errTooLarge}
 	}
 	whole := judge(res.StatusCode, body)
 	whole.tag = res.Header.Get("ETag")
@@ -152,23 +152,23 @@
 func judge(status int, body []byte) response {
 	switch status {
 	case http.StatusOK, http.StatusNotFound, http.StatusNotModified:
-		return response{fate: platform.Done, status: status, body: body}
+		return response{fate: storage.Done, status: status, body: body}
 	}
 	var refusal wireRefusal
 	if status == http.StatusServiceUnavailable && json.Unmarshal(body, &refusal) == nil && refusal.Fate == fateNotApplied {
-		return response{fate: platform.NotApplied, status: status, err: fmt.Errorf("platform refused the call: %s", refusal.Reason)}
+		return response{fate: storage.NotApplied, status: status, err: fmt.Errorf("platform refused the call: %s", refusal.Reason)}
 	}
-	return response{fate: platform.Doubtful, status: status, err: fmt.Errorf("platform replied %d", status)}
+	return response{fate: storage.Doubtful, status: status, err: fmt.Errorf("platform replied %d", status)}
 }
 
 // fateOf tells what a failed round trip proves: only a connection that was
 // never made proves that the call had no effect.
-func fateOf(err error) platform.Fate {
+func fateOf(err error) storage.Fate {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return platform.NotApplied
+		return storage.NotApplied
 	}
-	return platform.Doubtful
+	return storage.Doubtful
 }
 
 // list reads a list and decodes the reply, or returns ErrUnchanged if it is
@@ -195,7 +195,7 @@
 }
 
 func decode(r request, res response, v any) error {
-	if res.fate != platform.Done {
+	if res.fate != storage.Done {
 		return fmt.Errorf("platform's %s is out of reach: %w", r.path, res.err)
 	}
 	if res.status != http.StatusOK {
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -16,7 +16,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -50,21 +50,21 @@
 }
 
 func TestFatesOfTransactions(t *testing.T) {
-	write := platform.Call{Number: 9, Insert: []platform.Write{{Condition: platform.Condition{Key: "k"}, Value: []byte("v")}}}
+	write := storage.Call{Number: 9, Insert: []storage.Write{{Condition: storage.Condition{Key: "k"}, Value: []byte("v")}}}
 	tests := []struct {
 		name    string
 		handler http.HandlerFunc
-		want    platform.Fate
+		want    storage.Fate
 	}{
-		{"applied", reply(200, `{"rows":[{"key":"k","value":"dg==","version":1}],"applied":[true]}`), platform.Done},
-		{"the platform's word", reply(503, `{"fate":"not_applied","reason":"overloaded"}`), platform.NotApplied},
-		{"another 503", reply(503, `overloaded`), platform.Doubtful},
-		{"the word with another status", reply(500, `{"fate":"not_applied"}`), platform.Doubtful},
-		{"not found", reply(404, `{}`), platform.Doubtful},
-		{"rows of another call", reply(200, `{"rows":[{"key":"z","version":1}],"applied":[true]}`), platform.Doubtful},
-		{"rows without applied", reply(200, `{"rows":[{"key":"k","version":1}]}`), platform.Doubtful},
-		{"half a reply", reply(200, `{"rows":[`), platform.Doubtful},
-		{"reset after the effect", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.Doubtful},
+		{"applied", reply(200, `{"rows":[{"key":"k","value":"dg==","version":1}],"applied":[true]}`), storage.Done},
+		{"the platform's word", reply(503, `{"fate":"not_applied","reason":"overloaded"}`), storage.NotApplied},
+		{"another 503", reply(503, `overloaded`), storage.Doubtful},
+		{"the word with another status", reply(500, `{"fate":"not_applied"}`), storage.Doubtful},
+		{"not found", reply(404, `{}`), storage.Doubtful},
+		{"rows of another call", reply(200, `{"rows":[{"key":"z","version":1}],"applied":[true]}`), storage.Doubtful},
+		{"rows without applied", reply(200, `{"rows":[{"key":"k","version":1}]}`), storage.Doubtful},
+		{"half a reply", reply(200, `{"rows":[`), storage.Doubtful},
+		{"reset after the effect", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, storage.Doubtful},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -79,8 +79,8 @@
 			is.Equal(rep.Fate, tt.want)
 			is.Equal(rep.Number, uint64(9))
 			is.Equal(len(calls), 1) // a write is not repeated
-			if rep.Fate == platform.Done {
-				is.Equal(rep.Rows, []platform.Row{{Key: "k", Value: []byte("v"), Version: 1}})
+			if rep.Fate == storage.Done {
+				is.Equal(rep.Rows, []storage.Row{{Key: "k", Value: []byte("v"), Version: 1}})
 				is.Equal(rep.Applied, []bool{true})
 			}
 		})
@@ -89,16 +89,16 @@
 
 func TestNextAddressOnlyAfterProof(t *testing.T) {
 	is := is.New(t)
-	get := platform.Call{Get: []string{"k"}}
+	get := storage.Call{Get: []string{"k"}}
 	answer := reply(200, `{"key":"k","version":0}`)
 	c := client(t, unused(t), serve(t, answer))
-	is.Equal(c.Do(t.Context(), get).Fate, platform.Done)
+	is.Equal(c.Do(t.Context(), get).Fate, storage.Done)
 	is.Equal(c.current.Load(), int32(1)) // the address that answered goes first
 	c = client(t, unused(t))
-	is.Equal(c.Do(t.Context(), platform.Call{Insert: []platform.Write{{}}}).Fate, platform.NotApplied)
+	is.Equal(c.Do(t.Context(), storage.Call{Insert: []storage.Write{{}}}).Fate, storage.NotApplied)
 	second := make(chan struct{}, 1)
 	c = client(t, serve(t, reply(500, "")), serve(t, func(http.ResponseWriter, *http.Request) { second <- struct{}{} }))
-	is.Equal(c.Do(t.Context(), platform.Call{Insert: []platform.Write{{}}}).Fate, platform.Doubtful)
+	is.Equal(c.Do(t.Context(), storage.Call{Insert: []storage.Write{{}}}).Fate, storage.Doubtful)
 	is.Equal(len(second), 0) // a doubtful write goes nowhere else
 }
 
@@ -110,7 +110,7 @@
 	})
 	c := New(Config{Addresses: []netip.AddrPort{address}, Call: 50 * time.Millisecond})
 	defer c.Close()
-	is.Equal(c.Do(t.Context(), platform.Call{Insert: []platform.Write{{}}}).Fate, platform.Doubtful)
+	is.Equal(c.Do(t.Context(), storage.Call{Insert: []storage.Write{{}}}).Fate, storage.Doubtful)
 }
 
 func TestLists(t *testing.T) {
@@ -154,7 +154,7 @@
 	_, found, err := c.GetObject(t.Context(), "a b")
 	is.NoErr(err)
 	is.True(!found)
-	is.Equal(c.PutObject(t.Context(), "a b", []byte("x")), platform.Done)
+	is.Equal(c.PutObject(t.Context(), "a b", []byte("x")), storage.Done)
 	data, found, err := c.GetObject(t.Context(), "a b")
 	is.NoErr(err)
 	is.True(found)
@@ -197,9 +197,9 @@
 		sent++
 		w.Write(body)
 	}))
-	read := func() platform.Row {
-		rep := c.Do(t.Context(), platform.Call{Get: []string{"a/b"}})
-		is.Equal(rep.Fate, platform.Done)
+	read := func() storage.Row {
+		rep := c.Do(t.Context(), storage.Call{Get: []string{"a/b"}})
+		is.Equal(rep.Fate, storage.Done)
 		return rep.Rows[0]
 	}
 	first := read()
@@ -217,5 +217,5 @@
 func TestUnchangedWithoutKeptRow(t *testing.T) {
 	is := is.New(t)
 	c := client(t, serve(t, reply(304, "")))
-	is.Equal(c.Do(t.Context(), platform.Call{Get: []string{"k"}}).Fate, platform.NotApplied)
+	is.Equal(c.Do(t.Context(), storage.Call{Get: []string{"k"}}).Fate, storage.NotApplied)
 }
--- a/store/list.go
+++ b/store/list.go
@@ -12,7 +12,7 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -129,7 +129,7 @@
 		return err
 	}
 	res := c.send(ctx, request{method: http.MethodPut, path: path, body: body})
-	if res.fate != platform.Done {
+	if res.fate != storage.Done {
 		return fmt.Errorf("platform's %s is out of reach: %w", path, res.err)
 	}
 	if res.status != http.StatusOK {
--- a/store/row.go
+++ b/store/row.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"sync"
 
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -28,30 +28,30 @@
 
 	keptRow struct {
 		tag string
-		row platform.Row
+		row storage.Row
 	}
 )
 
 // getRow reads one row. The platform's entity tag tells whether it is the one
 // that is kept; a version would not, since a row may expire and come anew.
-func (c *Client) getRow(ctx context.Context, call platform.Call) platform.Reply {
+func (c *Client) getRow(ctx context.Context, call storage.Call) storage.Reply {
 	key := call.Get[0]
-	failed := platform.Reply{Number: call.Number, Fate: platform.NotApplied}
+	failed := storage.Reply{Number: call.Number, Fate: storage.NotApplied}
 	kept := c.kept.find(key)
 	res := c.send(ctx, request{method: http.MethodGet, path: "/v1/table/rows/" + url.PathEscape(key), tag: kept.tag})
-	if res.fate != platform.Done {
+	if res.fate != storage.Done {
 		return failed
 	}
 	if res.status == http.StatusNotModified && kept.tag != "" {
-		return platform.Reply{Number: call.Number, Rows: []platform.Row{kept.row}}
+		return storage.Reply{Number: call.Number, Rows: []storage.Row{kept.row}}
 	}
 	var w wireRow
 	if res.status != http.StatusOK || json.Unmarshal(res.body, &w) != nil || w.Key != key {
 		return failed
 	}
-	row := platform.Row{Key: w.Key, Value: w.Value, Version: w.Version}
+	row := storage.Row{Key: w.Key, Value: w.Value, Version: w.Version}
 	c.kept.keep(keptRow{tag: res.tag, row: row})
-	return platform.Reply{Number: call.Number, Rows: []platform.Row{row}}
+	return storage.Reply{Number: call.Number, Rows: []storage.Row{row}}
 }
 
 func (k *keptRows) find(key string) keptRow {
--- a/store/table.go
+++ b/store/table.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"time"
 
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 type (
 	// Page is a part of the table in the order of keys.
 	Page struct {
-		Rows []platform.Row
+		Rows []storage.Row
 		// More tells that rows are left after these.
 		More bool
 	}
@@ -53,26 +53,26 @@
 
 // Do carries out a call to the table. It never repeats a call that may have
 // had effect; its fate is Doubtful then.
-func (c *Client) Do(ctx context.Context, call platform.Call) platform.Reply {
+func (c *Client) Do(ctx context.Context, call storage.Call) storage.Reply {
 	if len(call.Insert) > 0 {
 		return c.transact(ctx, call)
 	}
 	return c.get(ctx, call)
 }
 
-func (c *Client) get(ctx context.Context, call platform.Call) platform.Reply {
+func (c *Client) get(ctx context.Context, call storage.Call) storage.Reply {
 	if len(call.Get) == 1 {
 		return c.getRow(ctx, call)
 	}
 	w, fate := c.rows(ctx, "/v1/table/get", wireGet{Keys: call.Get})
-	if fate != platform.Done || !matches(w.Rows, call.Get) {
+	if fate != storage.Done || !matches(w.Rows, call.Get) {
 		// A read has no effect, whatever became of it.
-		return platform.Reply{Number: call.Number, Fate: platform.NotApplied}
+		return storage.Reply{Number: call.Number, Fate: storage.NotApplied}
 	}
-	return platform.Reply{Number: call.Number, Rows: rowsOf(w.Rows)}
+	return storage.Reply{Number: call.Number, Rows: rowsOf(w.Rows)}
 }
 
-func (c *Client) transact(ctx context.Context, call platform.Call) platform.Reply {
+func (c *Client) transact(ctx context.Context, call storage.Call) storage.Reply {
 	keys := make([]string, 0, len(call.Insert))
 	t := wireTransaction{Writes: make([]wireWrite, 0, len(call.Insert))}
 	for _, w := range call.Insert {
@@ -85,13 +85,13 @@
 		})
 	}
 	w, fate := c.rows(ctx, "/v1/table/transaction", t)
-	if fate != platform.Done {
-		return platform.Reply{Number: call.Number, Fate: fate}
+	if fate != storage.Done {
+		return storage.Reply{Number: call.Number, Fate: fate}
 	}
 	if !matches(w.Rows, keys) || len(w.Applied) != len(keys) {
-		return platform.Reply{Number: call.Number, Fate: platform.Doubtful}
+		return storage.Reply{Number: call.Number, Fate: storage.Doubtful}
 	}
-	return platform.Reply{Number: call.Number, Rows: rowsOf(w.Rows), Applied: w.Applied}
+	return storage.Reply{Number: call.Number, Rows: rowsOf(w.Rows), Applied: w.Applied}
 }
 
 // Scan returns rows whose keys have the prefix, after a key, at most limit.
@@ -107,20 +107,20 @@
 	return Page{Rows: rowsOf(w.Rows), More: w.More}, nil
 }
 
-func (c *Client) rows(ctx context.Context, path string, v any) (wireRows, platform.Fate) {
+func (c *Client) rows(ctx context.Context, path string, v any) (wireRows, storage.Fate) {
 	body, err := json.Marshal(v)
 	if err != nil {
-		return wireRows{}, platform.NotApplied
+		return wireRows{}, storage.NotApplied
 	}
 	res := c.send(ctx, request{method: http.MethodPost, path: path, body: body})
-	if res.fate != platform.Done {
+	if res.fate != storage.Done {
 		return wireRows{}, res.fate
 	}
 	var w wireRows
 	if res.status != http.StatusOK || json.Unmarshal(res.body, &w) != nil {
-		return wireRows{}, platform.Doubtful
+		return wireRows{}, storage.Doubtful
 	}
-	return w, platform.Done
+	return w, storage.Done
 }
 
 // matches reports whether a reply has one row for each key, in order.
@@ -136,10 +136,10 @@
 	return true
 }
 
-func rowsOf(rows []wireRow) []platform.Row {
-	list := make([]platform.Row, 0, len(rows))
+func rowsOf(rows []wireRow) []storage.Row {
+	list := make([]storage.Row, 0, len(rows))
 	for _, r := range rows {
-		list = append(list, platform.Row{Key: r.Key, Value: r.Value, Version: r.Version})
+		list = append(list, storage.Row{Key: r.Key, Value: r.Value, Version: r.Version})
 	}
 	return list
 }
--- a/submission/bench_test.go
+++ b/submission/bench_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
 // claimAll answers a call to insert rows as an empty table does.
-func claimAll(c platform.Call) platform.Reply {
-	r := platform.Reply{Number: c.Number}
+func claimAll(c storage.Call) storage.Reply {
+	r := storage.Reply{Number: c.Number}
 	for _, w := range c.Insert {
-		r.Rows = append(r.Rows, platform.Row{Key: w.Key, Value: w.Value, Version: 1})
+		r.Rows = append(r.Rows, storage.Row{Key: w.Key, Value: w.Value, Version: 1})
 		r.Applied = append(r.Applied, true)
 	}
 	return r
@@ -109,7 +109,7 @@
 	m.batcher.SetBudget(defaultStoreWrites/7.0, 0)
 	var (
 		out     Output
-		pending []platform.Call
+		pending []storage.Call
 		due     []time.Time
 		added   []time.Duration
 		writes  int
--- a/submission/claims.go
+++ b/submission/claims.go
@@ -5,7 +5,7 @@
 
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // storeRetry is the wait before a row of unknown fate is written again. The
@@ -57,7 +57,7 @@
 }
 
 // claimReplied decides what the store's reply means for a claim.
-func (m *Manager) claimReplied(now time.Time, s *submission, o platform.Outcome, out *Output) {
+func (m *Manager) claimReplied(now time.Time, s *submission, o storage.Outcome, out *Output) {
 	if s.phase == lapsed {
 		m.lapsedReplied(s, o, out)
 		return
@@ -66,12 +66,12 @@
 		return
 	}
 	switch {
-	case o.Fate == platform.Doubtful:
+	case o.Fate == storage.Doubtful:
 		s.doubtful = true
 		m.retryClaim(now, s)
-	case o.Fate == platform.NotApplied && s.doubtful:
+	case o.Fate == storage.NotApplied && s.doubtful:
 		m.retryClaim(now, s)
-	case o.Fate == platform.NotApplied:
+	case o.Fate == storage.NotApplied:
 		m.dropClaim(s, m.unchecked(storeAway), out)
 	case o.Applied:
 		m.claimed(now, s, out)
@@ -93,7 +93,7 @@
 }
 
 // claimedEarlier decides about a claim that found a row of its key.
-func (m *Manager) claimedEarlier(now time.Time, s *submission, r platform.Row, out *Output) {
+func (m *Manager) claimedEarlier(now time.Time, s *submission, r storage.Row, out *Output) {
 	row, err := decodeClaim(r.Value)
 	if err != nil {
 		m.dropClaim(s, fault.New(fault.Internal, "%v", err), out)
@@ -191,8 +191,8 @@
 }
 
 // lapsedReplied settles a claim that was given up before the store replied.
-func (m *Manager) lapsedReplied(s *submission, o platform.Outcome, out *Output) {
-	if o.Fate != platform.Done {
+func (m *Manager) lapsedReplied(s *submission, o storage.Outcome, out *Output) {
+	if o.Fate != storage.Done {
 		return
 	}
 	row, err := decodeClaim(o.Row.Value)
--- a/submission/commands.go
+++ b/submission/commands.go
@@ -7,23 +7,23 @@
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // StoreReplied takes the reply to a call of this package. Replies to other
 // calls and repeated ones change nothing.
-func (m *Manager) StoreReplied(now time.Time, r platform.Reply, out *Output) {
+func (m *Manager) StoreReplied(now time.Time, r storage.Reply, out *Output) {
 	now = m.advance(now)
 	m.replied(now, r, out)
 	m.end(now, out)
 }
 
-func (m *Manager) replied(now time.Time, r platform.Reply, out *Output) {
+func (m *Manager) replied(now time.Time, r storage.Reply, out *Output) {
 	m.outcomes = m.batcher.Replied(r, m.outcomes[:0])
 	if len(m.outcomes) == 0 {
 		return
 	}
-	if r.Fate == platform.Done {
+	if r.Fate == storage.Done {
 		if m.circuit.Succeeded() {
 			out.Events = append(out.Events, event.Record{Kind: event.StoreUp})
 		}
@@ -36,7 +36,7 @@
 	}
 }
 
-func (m *Manager) rowReplied(now time.Time, o platform.Outcome, out *Output) {
+func (m *Manager) rowReplied(now time.Time, o storage.Outcome, out *Output) {
 	if !o.Write {
 		m.rowRead(now, o, out)
 		return
--- a/submission/fakes_test.go
+++ b/submission/fakes_test.go
@@ -7,7 +7,7 @@
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -32,19 +32,19 @@
 	}
 }
 
-func (w *world) callStore(n *node, c platform.Call) {
-	reply := func(d time.Duration, r platform.Reply) {
+func (w *world) callStore(n *node, c storage.Call) {
+	reply := func(d time.Duration, r storage.Reply) {
 		w.after(d, func() {
 			w.input(n, func(now time.Time, out *Output) { n.manager.StoreReplied(now, r, out) })
 		})
 	}
-	doubtful := platform.Reply{Number: c.Number, Fate: platform.Doubtful}
+	doubtful := storage.Reply{Number: c.Number, Fate: storage.Doubtful}
 	done := func(d, back time.Duration) {
 		w.after(d, func() { reply(back, w.apply(c)) })
 	}
 	switch mode := w.store; {
 	case mode == storeDown:
-		reply(w.ms(1, 50), platform.Reply{Number: c.Number, Fate: platform.NotApplied})
+		reply(w.ms(1, 50), storage.Reply{Number: c.Number, Fate: storage.NotApplied})
 	case mode == storeCrawls:
 		done(w.ms(1, 5000), w.ms(1, 1000))
 	case mode == storeLossy && w.chance(60):
@@ -66,15 +66,15 @@
 }
 
 // apply carries out a call on the fake table.
-func (w *world) apply(c platform.Call) platform.Reply {
-	r := platform.Reply{Number: c.Number}
+func (w *world) apply(c storage.Call) storage.Reply {
+	r := storage.Reply{Number: c.Number}
 	for _, key := range c.Get {
 		r.Rows = append(r.Rows, w.table[key])
 	}
 	for _, insert := range c.Insert {
 		row, taken := w.table[insert.Key]
 		if !taken {
-			row = platform.Row{Key: insert.Key, Value: insert.Value, Version: 1}
+			row = storage.Row{Key: insert.Key, Value: insert.Value, Version: 1}
 			w.table[insert.Key] = row
 		}
 		r.Rows = append(r.Rows, row)
--- a/submission/found_test.go
+++ b/submission/found_test.go
@@ -12,7 +12,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -20,15 +20,15 @@
 // reaches too seldom.
 
 // tableRow answers the last call of out with a row that was there before.
-func tableRow(out *Output, value []byte) platform.Reply {
+func tableRow(out *Output, value []byte) storage.Reply {
 	c := out.Calls[len(out.Calls)-1]
-	r := platform.Reply{Number: c.Number}
+	r := storage.Reply{Number: c.Number}
 	for _, w := range c.Insert {
-		r.Rows = append(r.Rows, platform.Row{Key: w.Key, Value: value, Version: 1})
+		r.Rows = append(r.Rows, storage.Row{Key: w.Key, Value: value, Version: 1})
 		r.Applied = append(r.Applied, false)
 	}
 	for _, key := range c.Get {
-		r.Rows = append(r.Rows, platform.Row{Key: key, Value: value, Version: 1})
+		r.Rows = append(r.Rows, storage.Row{Key: key, Value: value, Version: 1})
 	}
 	return r
 }
@@ -84,13 +84,13 @@
 	own := func(claim uint64) []byte { return encodeClaim(ref("a", 7), claim, start) }
 	tests := []struct {
 		name     string
-		doubt    []platform.Fate // replies before the row is told
+		doubt    []storage.Fate // replies before the row is told
 		row      []byte
 		enqueued int
 		want     fault.Kind
 	}{
-		{"own row after a doubt", []platform.Fate{platform.Doubtful}, own(1), 1, 0},
-		{"own row after a doubt and a refusal", []platform.Fate{platform.Doubtful, platform.NotApplied}, own(1), 1, 0},
+		{"own row after a doubt", []storage.Fate{storage.Doubtful}, own(1), 1, 0},
+		{"own row after a doubt and a refusal", []storage.Fate{storage.Doubtful, storage.NotApplied}, own(1), 1, 0},
 		{"row of a claim that was forgotten", nil, own(9), 0, fault.OutcomeUnknown},
 		{"row of an earlier incarnation", nil, encodeClaim(ref("a", 6), 1, start), 0, fault.OutcomeUnknown},
 		{"row of an instance out of reach", nil, encodeClaim(ref("z", 6), 1, start), 0, fault.HomeUnreachable},
@@ -105,7 +105,7 @@
 			m.PeerLost(now, ref("z", 6), &out) // it was heard of and does not answer
 			m.Submit(now, 1, j, true, &out)
 			for _, fate := range tt.doubt {
-				m.StoreReplied(now, platform.Reply{Number: out.Calls[len(out.Calls)-1].Number, Fate: fate}, &out)
+				m.StoreReplied(now, storage.Reply{Number: out.Calls[len(out.Calls)-1].Number, Fate: fate}, &out)
 				is.Equal(len(out.Replies), 0) // neither started nor refused while it is not known
 				now = now.Add(time.Second)
 				m.Tick(now, &out)
@@ -113,7 +113,7 @@
 			m.StoreReplied(now, tableRow(&out, tt.row), &out)
 			if len(out.Calls[len(out.Calls)-1].Get) > 0 { // for a durable answer
 				number := out.Calls[len(out.Calls)-1].Number
-				m.StoreReplied(now, platform.Reply{Number: number, Rows: make([]platform.Row, 1)}, &out)
+				m.StoreReplied(now, storage.Reply{Number: number, Rows: make([]storage.Row, 1)}, &out)
 			}
 			is.Equal(len(out.Enqueue), tt.enqueued)
 			if tt.enqueued == 0 {
@@ -274,7 +274,7 @@
 			m.SetInstances(start, tt.list, &out)
 			m.BeginStop(start, &out)
 			m.Submit(start, 1, j, true, &out)
-			m.StoreReplied(start, platform.Reply{Number: out.Calls[0].Number, Rows: make([]platform.Row, 1)}, &out)
+			m.StoreReplied(start, storage.Reply{Number: out.Calls[0].Number, Rows: make([]storage.Row, 1)}, &out)
 			if len(out.Messages) == 0 {
 				is.Equal(out.Replies[0].Result.Fault.Kind, tt.want)
 				return
@@ -284,7 +284,7 @@
 				stale := message.Message{From: ref("b", 9), To: here, Body: message.Stale{Request: 1}}
 				m.Receive(start, stale, &out)
 				last := out.Calls[len(out.Calls)-1].Number // for a durable answer
-				m.StoreReplied(start, platform.Reply{Number: last, Rows: make([]platform.Row, 1)}, &out)
+				m.StoreReplied(start, storage.Reply{Number: last, Rows: make([]storage.Row, 1)}, &out)
 				is.Equal(out.Replies[0].Result.Fault.Kind, tt.want)
 				return
 			}
--- a/submission/keep.go
+++ b/submission/keep.go
@@ -5,7 +5,7 @@
 
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // store begins to write a durable answer.
@@ -23,11 +23,11 @@
 
 // resultReplied takes the store's reply to the write of a durable answer. The
 // row of that key has one writer, so if there is one the answer is stored.
-func (m *Manager) resultReplied(now time.Time, s *submission, o platform.Outcome, out *Output) {
+func (m *Manager) resultReplied(now time.Time, s *submission, o storage.Outcome, out *Output) {
 	if s.phase != storing {
 		return
 	}
-	if o.Fate != platform.Done {
+	if o.Fate != storage.Done {
 		m.timers.add(timer{at: now.Add(m.circuit.Jitter(storeRetry)), kind: retryTimer, id: s.id, number: s.claim})
 		return
 	}
--- a/submission/lookups.go
+++ b/submission/lookups.go
@@ -5,7 +5,7 @@
 
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // lookup is a request that waits for a row of the table: a claim's row, that
@@ -41,12 +41,12 @@
 }
 
 // rowRead ends the requests that wait for a row.
-func (m *Manager) rowRead(now time.Time, o platform.Outcome, out *Output) {
+func (m *Manager) rowRead(now time.Time, o storage.Outcome, out *Output) {
 	waiting := m.lookups[o.Key]
 	delete(m.lookups, o.Key)
 	for _, l := range waiting {
 		switch {
-		case o.Fate != platform.Done:
+		case o.Fate != storage.Done:
 			m.answer(l.waiter, unknown(l.id, l.job, m.unread(l)), out)
 		case l.then == nil:
 			m.claimRead(now, l, o.Row, out)
@@ -56,7 +56,7 @@
 	}
 }
 
-func (m *Manager) claimRead(now time.Time, l lookup, r platform.Row, out *Output) {
+func (m *Manager) claimRead(now time.Time, l lookup, r storage.Row, out *Output) {
 	if r.Version == 0 && l.job != nil {
 		// Another instance may claim the id for an earlier request before
 		// this reply is read, so it does not say "not run".
@@ -77,7 +77,7 @@
 	m.routeClaimed(now, l.waiter, row, l.id, l.job, out)
 }
 
-func (m *Manager) resultRead(l lookup, r platform.Row, out *Output) {
+func (m *Manager) resultRead(l lookup, r storage.Row, out *Output) {
 	if r.Version == 0 {
 		m.answer(l.waiter, unknown(l.id, l.job, l.then), out)
 		return
--- a/submission/manager.go
+++ b/submission/manager.go
@@ -7,7 +7,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -109,8 +109,8 @@
 	Manager struct {
 		settings  Settings
 		admission Admission
-		circuit   *platform.Circuit
-		batcher   *platform.Batcher
+		circuit   *storage.Circuit
+		batcher   *storage.Batcher
 
 		// first is the time of New and wall the same without its monotonic
 		// reading.
@@ -145,7 +145,7 @@
 		head  int
 
 		// outcomes is reused between calls.
-		outcomes []platform.Outcome
+		outcomes []storage.Outcome
 	}
 
 	// callPlace is where a call waits: a submission or a forward.
@@ -165,7 +165,7 @@
 		settings:    s,
 		admission:   a,
 		circuit:     s.Circuit,
-		batcher:     platform.NewBatcher(s.Circuit, callBase),
+		batcher:     storage.NewBatcher(s.Circuit, callBase),
 		first:       now,
 		wall:        now.Round(0),
 		latest:      now,
--- a/submission/manager_test.go
+++ b/submission/manager_test.go
@@ -10,7 +10,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -65,8 +65,8 @@
 	m.Submit(start, 1, jobOf("fee-1", "x"), true, &out)
 	is.Equal(len(out.Enqueue), 0) // not before the claim
 	is.Equal(len(out.Calls), 1)
-	row := platform.Row{Key: claimKey("fee-1"), Value: out.Calls[0].Insert[0].Value, Version: 1}
-	reply := platform.Reply{Number: out.Calls[0].Number, Rows: []platform.Row{row}, Applied: []bool{true}}
+	row := storage.Row{Key: claimKey("fee-1"), Value: out.Calls[0].Insert[0].Value, Version: 1}
+	reply := storage.Reply{Number: out.Calls[0].Number, Rows: []storage.Row{row}, Applied: []bool{true}}
 	m.StoreReplied(start, reply, &out)
 	is.Equal(len(out.Enqueue), 1)
 }
@@ -85,9 +85,9 @@
 	is.Equal(len(out.Replies), 0) // the claim is not decided
 	is.Equal(len(out.Calls), 1)
 	w := out.Calls[0].Insert[0]
-	reply := platform.Reply{
+	reply := storage.Reply{
 		Number:  out.Calls[0].Number,
-		Rows:    []platform.Row{{Key: w.Key, Value: w.Value, Version: 1}},
+		Rows:    []storage.Row{{Key: w.Key, Value: w.Value, Version: 1}},
 		Applied: []bool{true},
 	}
 	out.Reset()
@@ -122,9 +122,9 @@
 			now := start
 			for range 100 {
 				for _, c := range out.Calls {
-					r := platform.Reply{Number: c.Number}
+					r := storage.Reply{Number: c.Number}
 					for _, key := range c.Get {
-						r.Rows = append(r.Rows, platform.Row{Key: key})
+						r.Rows = append(r.Rows, storage.Row{Key: key})
 					}
 					out.Calls = nil
 					m.StoreReplied(now, r, &out)
--- a/submission/outage_test.go
+++ b/submission/outage_test.go
@@ -10,7 +10,7 @@
 	"github.com/lovagecrank/lovagecrank/class"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 // storeUser drives one instance against a store that a test switches, on a
@@ -20,8 +20,8 @@
 	now      time.Time
 	out      Output
 	delay    time.Duration
-	fate     platform.Fate
-	calls    []platform.Call
+	fate     storage.Fate
+	calls    []storage.Call
 	due      []time.Time
 	accepted map[string]time.Time
 	replies  map[uint64]job.Result
@@ -67,8 +67,8 @@
 func (u *storeUser) run(d time.Duration) {
 	for end := u.now.Add(d); u.now.Before(end); u.now = u.now.Add(time.Millisecond) {
 		for len(u.due) > 0 && !u.due[0].After(u.now) {
-			r := platform.Reply{Number: u.calls[0].Number, Fate: u.fate}
-			if u.fate == platform.Done {
+			r := storage.Reply{Number: u.calls[0].Number, Fate: u.fate}
+			if u.fate == storage.Done {
 				r = claimAll(u.calls[0])
 			}
 			u.calls, u.due = u.calls[1:], u.due[1:]
@@ -113,13 +113,13 @@
 			u := newStoreUser()
 			switch tt.store {
 			case down:
-				u.fate = platform.NotApplied
+				u.fate = storage.NotApplied
 				for i := range uint64(circuitOpensAfter) {
 					u.submit(100+i, fmt.Sprint("earlier-", i), "urgent")
 					u.run(50 * time.Millisecond)
 				}
 			case silent:
-				u.fate = platform.Doubtful
+				u.fate = storage.Doubtful
 			case crawls:
 				u.delay = 5 * time.Second
 			}
@@ -172,7 +172,7 @@
 		}
 		return u.made - before
 	}
-	u.fate = platform.NotApplied
+	u.fate = storage.NotApplied
 	during := run(time.Minute, true)
 	is.True(during <= 60) // probes only
 	waiting := 0
@@ -181,7 +181,7 @@
 	}
 	is.True(waiting > 10_000) // callers that come again
 	is.True(len(u.m.submissions) < 100)
-	u.fate = platform.Done
+	u.fate = storage.Done
 	after := run(30*time.Second, false)
 	t.Logf("%d calls in the outage, %d callers wait at its end, %d calls in the 30 s after it, %d jobs accepted", during, waiting, after, len(u.accepted))
 	is.True(after <= 30*defaultStoreWrites)
--- a/submission/output.go
+++ b/submission/output.go
@@ -7,7 +7,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -24,7 +24,7 @@
 		Stop     []task.Ref
 		Messages []message.Message
 		Replies  []Reply
-		Calls    []platform.Call
+		Calls    []storage.Call
 		Events   []event.Record
 		// Ended are accepted jobs that have their final result now.
 		Ended []Ended
--- a/submission/settings.go
+++ b/submission/settings.go
@@ -7,7 +7,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 )
 
 const (
@@ -66,7 +66,7 @@
 		StoreWrites, StoreReads float64
 		// Circuit is shared by all callers of the store; nil means one of
 		// the Manager's own.
-		Circuit *platform.Circuit
+		Circuit *storage.Circuit
 		// Seed is for jitter.
 		Seed uint64
 	}
@@ -92,7 +92,7 @@
 	s.StoreWrites = cmp.Or(s.StoreWrites, defaultStoreWrites)
 	s.StoreReads = cmp.Or(s.StoreReads, defaultStoreReads)
 	if s.Circuit == nil {
-		s.Circuit = platform.NewCircuit(s.Seed)
+		s.Circuit = storage.NewCircuit(s.Seed)
 	}
 	return s
 }
--- a/submission/world_test.go
+++ b/submission/world_test.go
@@ -11,7 +11,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
-	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/storage"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -65,7 +65,7 @@
 		cuts        map[[2]int]bool
 		loss        int // percent of messages
 		store       storeMode
-		table       map[string]platform.Row
+		table       map[string]storage.Row
 		// endpoints tells in percent how often a send does not end well.
 		endpointFaults int
 		// failing tells that endpoints fail everything they start.
@@ -97,7 +97,7 @@
 		now:    start,
 		dice:   rand.New(rand.NewPCG(seed, 1)),
 		cuts:   map[[2]int]bool{},
-		table:  map[string]platform.Row{},
+		table:  map[string]storage.Row{},
 		issued: map[string]job.Job{},
 		seen:   newObserver(),
 	}
