--- /dev/null
+++ b/command/join.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/logline"
+	"github.com/lovagecrank/lovagecrank/platform"
+	"github.com/lovagecrank/lovagecrank/runner"
+)
+
+func joinFlags(fs *flag.FlagSet) action {
+	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	quiet := fs.Bool("quiet", false, "write no log lines")
+	return func(ctx context.Context, s streams, _ []string) error {
+		return join(ctx, s, *path, *quiet)
+	}
+}
+
+// join runs an instance on the platform until the first signal to stop.
+func join(ctx context.Context, s streams, path string, quiet bool) error {
+	now := time.Now()
+	cfg, err := platform.LoadSettings(path, uint64(now.UnixNano()))
+	if err != nil {
+		return err
+	}
+	stop, force, release := stopSignals(ctx)
+	defer release()
+
+	lines := logline.NewWriter("instance", cfg.Runner.Self.ID)
+	logging, endLogging := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { lines.Run(logging, s.out) })
+	defer group.Wait()
+	defer endLogging()
+
+	record := lines.Write
+	if quiet {
+		record = func(time.Time, event.Record) {}
+	}
+	record(now, event.Record{Kind: event.SettingsLoaded, Subject: path})
+	store := platform.NewStore(cfg.Store)
+	group.Go(func() { reload(logging, path, store, record) })
+	r := runner.New(cfg.Runner, runner.Options{
+		Endpoints:    platform.NewWorkers(),
+		Store:        store,
+		DecodeRoutes: platform.DecodeRoutes,
+		Handler:      func(r *runner.Runner) http.Handler { return platform.NewCallers(r) },
+		Record:       record,
+	})
+	return r.Run(stop, force)
+}
--- a/command/table.go
+++ b/command/table.go
@@ -37,6 +37,13 @@
 			example: "lovagecrank serve -config examples/voltmesh.yaml",
 			flags:   serveFlags,
 		},
+		{
+			name:    "join",
+			title:   "Run an instance on the platform",
+			text:    "Reads the platform's settings file and serves its callers on its leased endpoints until the first interrupt or termination signal. It then hands its endpoints over, finishes the jobs it has and ends with status 0. A hangup signal makes it read the settings file again.",
+			example: "lovagecrank join -settings /etc/lovagecrank/settings.yaml",
+			flags:   joinFlags,
+		},
 		{
 			name:    "trial",
 			title:   "Run a whole system in this process and submit the example jobs",
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -37,6 +38,14 @@
 		Size task.Needs
 		// Leaving tells that it must get no new work.
 		Leaving bool
+		// Service names the pool of endpoints that it belongs to; empty where
+		// all endpoints are alike.
+		Service string
+		// Labels are what a step may require of it.
+		Labels []string
+		// Born is when it started; zero if it does not tell. Another time
+		// under the same ID means that it knows nothing of before.
+		Born time.Time
 	}
 
 	// Load is what an endpoint tells of itself with each reply.
--- /dev/null
+++ b/endpoint/listing_test.go
@@ -0,0 +1,55 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Entries that expired while the store was away are waited for.
+func TestListingWaitsForEntriesAfterAnOutage(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	tests := []struct {
+		name    string
+		outage  bool
+		again   bool
+		after   time.Duration
+		present bool
+	}{
+		{"removed while the store is up", false, false, 0, false},
+		{"just after an outage", true, false, time.Second, true},
+		{"two seconds after an outage", true, false, 2100 * time.Millisecond, false},
+		{"back in time", true, true, 3 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewListing()
+			l.Put(Info{ID: "a"})
+			now := start
+			if tt.outage {
+				l.StoreLost()
+				now = now.Add(5 * time.Second)
+				l.StoreBack(now)
+			}
+			l.Remove(now, "a")
+			if tt.again {
+				l.Put(Info{ID: "a"})
+			}
+			l.Expire(now.Add(tt.after))
+			is.Equal(len(l.Infos()) == 1, tt.present)
+		})
+	}
+}
+
+func TestListingKeepsEntriesWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	l := NewListing()
+	l.Put(Info{ID: "a"})
+	l.Remove(now, "a")
+	l.StoreLost()
+	is.True(!l.Expire(now.Add(time.Hour)))
+	is.Equal(len(l.Infos()), 1)
+}
--- a/event/table.go
+++ b/event/table.go
@@ -31,6 +31,17 @@
 	CertificateReloaded
 	CertificateRejected
 	RequestFailed
+	EndpointFenced
+	EndpointSilent
+	StartUnanswered
+	RunStands
+	CallerLeft
+	TasksUncertain
+	Thawed
+	EntryUnreadable
+	JobAnswered
+	LinesDropped
+	SettingsRejected
 	kinds
 )
 
@@ -65,6 +76,17 @@
 	CertificateReloaded:  row("LC2050", catalogue.Info, "Certificate reloaded", "The certificate and key files changed and are in use.", "Nothing needs to be done."),
 	CertificateRejected:  row("LC2051", catalogue.Warning, "Certificate rejected", "The certificate and key files changed but cannot be used; the earlier ones stay in use.", "Correct the files that the log names."),
 	RequestFailed:        row("LC2060", catalogue.Warning, "Request could not be answered", "A reply could not be written to a caller.", "Nothing needs to be done; the caller can ask again with the same id."),
+	EndpointFenced:       row("LC2061", catalogue.Info, "Endpoint has another holder", "The endpoint has seen the fencing token of a later holder and takes no orders of this instance any more.", "Nothing needs to be done; frequent changes of holder point to instances that cannot reach each other."),
+	EndpointSilent:       row("LC2062", catalogue.Warning, "Endpoint does not answer", "The endpoint has answered nothing for so long that its lease is over and nothing of this instance runs there any more.", "Look at the endpoint and the network to it."),
+	StartUnanswered:      row("LC2063", catalogue.Warning, "Start not answered", "The endpoint did not answer a start in time. The run is stopped there before the task starts elsewhere.", "Look at the endpoint that the log names."),
+	RunStands:            row("LC2064", catalogue.Warning, "Run stands still", "A run is far over its estimate and makes too little progress. It is stopped and the task starts elsewhere.", "Look at the endpoint that the log names."),
+	CallerLeft:           row("LC2065", catalogue.Info, "Caller left", "The caller's connection ended before its answer. What runs for it is stopped, since it may ask elsewhere.", "Nothing needs to be done."),
+	TasksUncertain:       row("LC2066", catalogue.Warning, "Runs uncertain", "The holder of some runs cannot be reached. The tasks start again only after those runs must have ended.", "Look at the instance that the log names."),
+	Thawed:               row("LC2067", catalogue.Warning, "Instance stood still", "The process did not run for a while. Jobs with tasks that had not started are answered, since their callers may have asked elsewhere.", "Look at the load of the host."),
+	EntryUnreadable:      row("LC2068", catalogue.Warning, "Entry cannot be used", "A row of the platform's store has missing or wrong fields and is left out.", "Look at what wrote the row that the log names."),
+	JobAnswered:          row("LC2069", catalogue.Info, "Job answered", "A job is complete and its caller has the answer.", "Nothing needs to be done."),
+	LinesDropped:         row("LC2070", catalogue.Warning, "Log lines dropped", "More lines came than the log's buffer holds; the log names how many were dropped.", "Refusals and failures have a buffer of their own; see docs/OPERATIONS.md."),
+	SettingsRejected:     row("LC2071", catalogue.Warning, "Settings rejected", "The settings file changed and cannot be used; the earlier settings stay in force.", "Correct the key that the log names."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/fault/table.go
+++ b/fault/table.go
@@ -35,6 +35,7 @@
 	TasksNotRun
 	SubmissionUnchecked
 	NotReady
+	JobUnsupported
 	kinds
 )
 
@@ -83,6 +84,7 @@
 	TasksNotRun:          row("LC1024", "tasks_not_run", http.StatusServiceUnavailable, false, "Some tasks could not be run", "Some tasks of the job ran and others were given up, for the reason that the detail names. Those that were not sent never start.", "Look at what is known of each task, then submit what is missing under a new id."),
 	SubmissionUnchecked:  row("LC1025", "submission_unchecked", http.StatusServiceUnavailable, false, "Submission id could not be checked", "This request started nothing and never will. Whether an earlier request with the same id did is not known, because the platform's store does not tell.", "Wait for the given time and submit again with the same id; ids from POST /v1/submission_ids need no store. Do not use another id unless this was the first request for the work."),
 	NotReady:             row("LC1026", "not_ready", http.StatusServiceUnavailable, true, "Instance is not ready", "The instance has just started and does not know the classes, the teams or the endpoints yet.", "Submit again; the balancer picks another instance."),
+	JobUnsupported:       row("LC1027", "job_unsupported", http.StatusServiceUnavailable, true, "Kind of job is not served", "The job would have to be kept after its answer, runs several times or until it is cancelled, or has a kind of step that is not served yet.", "Submit jobs that are answered when they end, of ordinary steps."),
 }
 
 func row(code, name string, status int, notRun bool, title, text, remedy string) Row {
--- /dev/null
+++ b/message/pool.go
@@ -0,0 +1,111 @@
+package message
+
+import (
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/run"
+	"github.com/lovagecrank/lovagecrank/task"
+)
+
+// The messages between instances that share leased endpoints; see package
+// pool.
+type (
+	// Standing tells what the sender holds, has free and waits for. A later
+	// one replaces its earlier ones.
+	Standing struct {
+		// Leaving tells that the sender has begun its planned stop.
+		Leaving bool
+		// Version is the configuration's in force at the sender.
+		Version uint64
+		Rooms   []Room
+		// Endpoints are the IDs of those that the sender holds.
+		Endpoints []string
+	}
+
+	// Room is what the sender's endpoints of one service have.
+	Room struct {
+		Service string
+		// Places is how many tasks of the usual size fit in all, and Free
+		// how many more fit now.
+		Places, Free int
+		// Waits are the tasks that wait at the sender, by priority.
+		Waits []Wait
+	}
+
+	// Wait is the need of the waiting tasks of one priority.
+	Wait struct {
+		Priority int
+		Tasks    int
+		// Slack is how soon the first of them must start for its job to meet
+		// its goal, from the message's sending.
+		Slack time.Duration
+		// Work is the expected run time of all of them together.
+		Work time.Duration
+		// Needs is what the largest of them needs.
+		Needs task.Needs
+	}
+
+	// StartRun asks the holder to run a task.
+	StartRun struct {
+		Run     run.Ref
+		Service string
+		Spec    string
+		Needs   task.Needs
+		// Estimate is the expected run time.
+		Estimate time.Duration
+		// Requires is a label that the endpoint must have, or empty.
+		Requires string
+		// Rack is the rack to prefer, or empty.
+		Rack string
+		// Avoid are endpoints that must not be used.
+		Avoid []string
+		// Offer is the number of the offer that is taken up; zero if none.
+		Offer uint64
+	}
+
+	// StopRun asks the holder to end a run whose answer is not wanted.
+	StopRun struct {
+		Run run.Ref
+	}
+
+	// RunUpdate tells the home how far its run has come.
+	RunUpdate struct {
+		Run    run.Ref
+		Status run.Status
+		// Endpoint is where it runs; empty if it never began.
+		Endpoint string
+		// Free is how many more tasks of the usual size fit at the holder.
+		Free int
+	}
+
+	// Offer reserves a place for the receiver.
+	Offer struct {
+		Number  uint64
+		Service string
+		// Needs is what fits there.
+		Needs task.Needs
+	}
+
+	// Decline gives an offered place back.
+	Decline struct {
+		Number uint64
+	}
+
+	// Routes carries the configuration in force at the sender, as the
+	// platform's adapter reads it.
+	Routes struct {
+		Document []byte
+	}
+
+	// RoutesRequest asks for Routes.
+	RoutesRequest struct{}
+)
+
+func (Standing) body()      {}
+func (StartRun) body()      {}
+func (StopRun) body()       {}
+func (RunUpdate) body()     {}
+func (Offer) body()         {}
+func (Decline) body()       {}
+func (Routes) body()        {}
+func (RoutesRequest) body() {}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -17,6 +17,7 @@
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/peer/internal/wire"
+	"github.com/lovagecrank/lovagecrank/run"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -60,6 +61,20 @@
 		message.ConfigurationRequest{},
 		message.Configuration{Document: configuration.Document{Version: 3, ChangeID: "x", Classes: []class.Class{{Name: "c", Target: time.Second}}}},
 		message.Stale{Request: 8},
+		message.Standing{Leaving: true, Version: 4, Endpoints: []string{"w"}, Rooms: []message.Room{{
+			Service: "s", Places: 9, Free: 2,
+			Waits: []message.Wait{{Priority: 1, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: needs}},
+		}}},
+		message.StartRun{
+			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: needs, Estimate: time.Second,
+			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7,
+		},
+		message.StopRun{Run: run.Ref{Task: "t", Number: 2}},
+		message.RunUpdate{Run: run.Ref{Task: "t", Number: 2}, Status: run.Done, Endpoint: "w", Free: 3},
+		message.Offer{Number: 7, Service: "s", Needs: needs},
+		message.Decline{Number: 7},
+		message.Routes{Document: []byte("{}")},
+		message.RoutesRequest{},
 	}
 }
 
--- a/peer/cut_test.go
+++ b/peer/cut_test.go
@@ -95,7 +95,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			a, b := run(t, "a", 1), run(t, "b", 1)
+			a, b := runPool(t, "a", 1), runPool(t, "b", 1)
 			r := newRelay(t, b)
 			via := b.self
 			via.Address = r.addressOfSelf
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -76,7 +76,7 @@
 	case *wire.Message_Stale:
 		return message.Stale{Request: b.Stale.GetRequest()}, nil
 	}
-	return nil, errNoBody
+	return decodePool(w)
 }
 
 func decodeRef(w *wire.Ref) instance.Ref {
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/fault"
@@ -43,7 +42,7 @@
 	case message.Stale:
 		w.Body = &wire.Message_Stale{Stale: &wire.Stale{Request: b.Request}}
 	default:
-		return nil, fmt.Errorf("message of type %T has no wire form; add it to peer.proto", m.Body)
+		return w, encodePool(w, m.Body)
 	}
 	return w, nil
 }
--- /dev/null
+++ b/peer/pool_decode.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"errors"
+
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/peer/internal/wire"
+	"github.com/lovagecrank/lovagecrank/run"
+)
+
+// decodePool returns the body of a message between instances that share
+// leased endpoints.
+func decodePool(w *wire.Message) (message.Body, error) {
+	switch b := w.GetBody().(type) {
+	case *wire.Message_Standing:
+		return decodeStanding(b.Standing)
+	case *wire.Message_StartRun:
+		return decodeStartRun(b.StartRun)
+	case *wire.Message_StopRun:
+		r, err := decodeRun(b.StopRun.GetRun())
+		return message.StopRun{Run: r}, err
+	case *wire.Message_RunUpdate:
+		return decodeRunUpdate(b.RunUpdate)
+	case *wire.Message_Offer:
+		needs, err := decodeNeeds(b.Offer.GetNeeds())
+		return message.Offer{Number: b.Offer.GetNumber(), Service: b.Offer.GetService(), Needs: needs}, err
+	case *wire.Message_Decline:
+		return message.Decline{Number: b.Decline.GetNumber()}, nil
+	case *wire.Message_Routes:
+		return message.Routes{Document: b.Routes.GetDocument()}, nil
+	case *wire.Message_RoutesRequest:
+		return message.RoutesRequest{}, nil
+	}
+	return nil, errNoBody
+}
+
+func decodeRun(w *wire.Run) (run.Ref, error) {
+	r := run.Ref{Task: w.GetTask(), Number: w.GetNumber()}
+	if r.Number < 1 {
+		return run.Ref{}, errRange
+	}
+	return r, checkName(r.Task)
+}
+
+func decodeRunUpdate(w *wire.RunUpdate) (message.Body, error) {
+	r, err := decodeRun(w.GetRun())
+	if err != nil {
+		return nil, err
+	}
+	status := run.Status(w.GetStatus())
+	if !status.Valid() {
+		return nil, errRange
+	}
+	return message.RunUpdate{Run: r, Status: status, Endpoint: w.GetEndpoint(), Free: int(w.GetFree())}, checkCount(w.GetFree())
+}
+
+func decodeStartRun(w *wire.StartRun) (message.Body, error) {
+	r, err := decodeRun(w.GetRun())
+	if err != nil {
+		return nil, err
+	}
+	needs, err := decodeNeeds(w.GetNeeds())
+	if err != nil {
+		return nil, err
+	}
+	return message.StartRun{
+		Run:      r,
+		Service:  w.GetService(),
+		Spec:     w.GetSpec(),
+		Needs:    needs,
+		Estimate: decodeLength(w.GetEstimateNs()),
+		Requires: w.GetRequires(),
+		Rack:     w.GetRack(),
+		Avoid:    w.GetAvoid(),
+		Offer:    w.GetOffer(),
+	}, nil
+}
+
+func decodeStanding(w *wire.Standing) (message.Body, error) {
+	b := message.Standing{Leaving: w.GetLeaving(), Version: w.GetVersion(), Endpoints: w.GetEndpoints()}
+	for _, r := range w.GetRooms() {
+		if err := errors.Join(checkCount(r.GetPlaces()), checkCount(r.GetFree())); err != nil {
+			return nil, err
+		}
+		waits, err := decodeWaits(r.GetWaits())
+		if err != nil {
+			return nil, err
+		}
+		b.Rooms = append(b.Rooms, message.Room{Service: r.GetService(), Places: int(r.GetPlaces()), Free: int(r.GetFree()), Waits: waits})
+	}
+	return b, nil
+}
+
+func decodeWaits(list []*wire.Wait) ([]message.Wait, error) {
+	waits := make([]message.Wait, 0, len(list))
+	for _, w := range list {
+		needs, err := decodeNeeds(w.GetNeeds())
+		if err := errors.Join(err, checkCount(w.GetTasks())); err != nil {
+			return nil, err
+		}
+		waits = append(waits, message.Wait{
+			Priority: int(w.GetPriority()),
+			Tasks:    int(w.GetTasks()),
+			Slack:    decodeLength(w.GetSlackNs()),
+			Work:     decodeLength(w.GetWorkNs()),
+			Needs:    needs,
+		})
+	}
+	return waits, nil
+}
--- /dev/null
+++ b/peer/pool_encode.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/peer/internal/wire"
+	"github.com/lovagecrank/lovagecrank/run"
+)
+
+// encodePool sets the body of a message between instances that share leased
+// endpoints.
+func encodePool(w *wire.Message, body message.Body) error {
+	switch b := body.(type) {
+	case message.Standing:
+		w.Body = &wire.Message_Standing{Standing: encodeStanding(b)}
+	case message.StartRun:
+		w.Body = &wire.Message_StartRun{StartRun: encodeStartRun(b)}
+	case message.StopRun:
+		w.Body = &wire.Message_StopRun{StopRun: &wire.StopRun{Run: encodeRun(b.Run)}}
+	case message.RunUpdate:
+		w.Body = &wire.Message_RunUpdate{RunUpdate: &wire.RunUpdate{
+			Run: encodeRun(b.Run), Status: uint32(b.Status), Endpoint: b.Endpoint, Free: int32(b.Free),
+		}}
+	case message.Offer:
+		w.Body = &wire.Message_Offer{Offer: &wire.Offer{Number: b.Number, Service: b.Service, Needs: encodeNeeds(b.Needs)}}
+	case message.Decline:
+		w.Body = &wire.Message_Decline{Decline: &wire.Decline{Number: b.Number}}
+	case message.Routes:
+		w.Body = &wire.Message_Routes{Routes: &wire.Routes{Document: b.Document}}
+	case message.RoutesRequest:
+		w.Body = &wire.Message_RoutesRequest{RoutesRequest: &wire.RoutesRequest{}}
+	default:
+		return fmt.Errorf("message of type %T has no wire form; add it to peer.proto", body)
+	}
+	return nil
+}
+
+func encodeRun(r run.Ref) *wire.Run { return &wire.Run{Task: r.Task, Number: r.Number} }
+
+func encodeStartRun(b message.StartRun) *wire.StartRun {
+	return &wire.StartRun{
+		Run:        encodeRun(b.Run),
+		Service:    b.Service,
+		Spec:       b.Spec,
+		Needs:      encodeNeeds(b.Needs),
+		EstimateNs: int64(b.Estimate),
+		Requires:   b.Requires,
+		Rack:       b.Rack,
+		Avoid:      b.Avoid,
+		Offer:      b.Offer,
+	}
+}
+
+func encodeStanding(b message.Standing) *wire.Standing {
+	w := &wire.Standing{Leaving: b.Leaving, Version: b.Version, Endpoints: b.Endpoints}
+	for _, r := range b.Rooms {
+		room := &wire.Room{Service: r.Service, Places: int32(r.Places), Free: int32(r.Free)}
+		for _, d := range r.Waits {
+			room.Waits = append(room.Waits, &wire.Wait{
+				Priority: int32(d.Priority),
+				Tasks:    int32(d.Tasks),
+				SlackNs:  int64(d.Slack),
+				WorkNs:   int64(d.Work),
+				Needs:    encodeNeeds(d.Needs),
+			})
+		}
+		w.Rooms = append(w.Rooms, room)
+	}
+	return w
+}
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -79,7 +79,7 @@
 	stop func()
 }
 
-func run(t testing.TB, id string, incarnation uint64, change ...func(*Config)) *node {
+func runPool(t testing.TB, id string, incarnation uint64, change ...func(*Config)) *node {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	n := &node{log: newLog(), self: instance.Info{
@@ -110,7 +110,7 @@
 
 func TestMessagesBothWaysInOrder(t *testing.T) {
 	is := is.New(t)
-	a, b := run(t, "a", 1), run(t, "b", 2)
+	a, b := runPool(t, "a", 1), runPool(t, "b", 2)
 	a.SetPeers([]instance.Info{b.self}) // b learns of a from its stream
 	is.Equal(next(t, a.joined), b.self)
 	is.Equal(next(t, b.joined), a.self)
@@ -130,7 +130,7 @@
 
 func TestPairConnectsOnce(t *testing.T) {
 	is := is.New(t)
-	a, b := run(t, "a", 1), run(t, "b", 2)
+	a, b := runPool(t, "a", 1), runPool(t, "b", 2)
 	b.SetPeers([]instance.Info{a.self, b.self})
 	a.SetPeers([]instance.Info{a.self, b.self})
 	next(t, a.joined)
@@ -144,7 +144,7 @@
 
 func TestUnsentIsReported(t *testing.T) {
 	is := is.New(t)
-	a := run(t, "a", 1)
+	a := runPool(t, "a", 1)
 	gone := &node{self: instance.Info{Ref: instance.Ref{DataCentre: "d", ID: "x"}}}
 	a.Send(cancelOf(a, gone, 1)) // nobody of that name is known
 	is.Equal(next(t, a.unsent), cancelOf(a, gone, 1))
@@ -159,7 +159,7 @@
 
 func TestFullQueueIsReported(t *testing.T) {
 	is := is.New(t)
-	a, b := run(t, "a", 1, func(c *Config) { c.Queue = 1 }), run(t, "b", 1)
+	a, b := runPool(t, "a", 1, func(c *Config) { c.Queue = 1 }), runPool(t, "b", 1)
 	a.SetPeers([]instance.Info{b.self})
 	next(t, a.joined) // before that the one queued message may be told as unsent
 	const count = 2000
@@ -182,7 +182,7 @@
 func TestStopSendsWhatIsQueued(t *testing.T) {
 	is := is.New(t)
 	for _, dials := range []bool{true, false} {
-		a, b := run(t, "a", 1), run(t, "b", 1)
+		a, b := runPool(t, "a", 1), runPool(t, "b", 1)
 		if dials {
 			a.SetPeers([]instance.Info{b.self})
 		} else {
@@ -205,10 +205,10 @@
 
 func TestRestartedPeerTakesOver(t *testing.T) {
 	is := is.New(t)
-	a, b := run(t, "a", 1), run(t, "b", 7)
+	a, b := runPool(t, "a", 1), runPool(t, "b", 7)
 	a.SetPeers([]instance.Info{b.self})
 	is.Equal(next(t, a.joined).Incarnation, uint64(7))
-	again := run(t, "b", 8)
+	again := runPool(t, "b", 8)
 	again.SetPeers([]instance.Info{a.self})
 	is.Equal(next(t, a.joined).Incarnation, uint64(8))
 	is.Equal(next(t, a.lost), b.self.Ref)
@@ -220,9 +220,9 @@
 // one still stands here.
 func TestEndOfReplacedStreamIsToldFirst(t *testing.T) {
 	is := is.New(t)
-	a := run(t, "a", 1)
+	a := runPool(t, "a", 1)
 	told := make(chan string, 1000)
-	b := run(t, "b", 1, func(c *Config) { c.Handler = order{c.Handler, told} })
+	b := runPool(t, "b", 1, func(c *Config) { c.Handler = order{c.Handler, told} })
 	conn, err := grpc.NewClient("passthrough:///"+b.self.Address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
 	is.NoErr(err)
 	defer conn.Close()
@@ -266,7 +266,7 @@
 		{"nothing", nil, codes.InvalidArgument},
 		{"malformed message", []*wire.Batch{hello, {Messages: []*wire.Message{huge}}}, codes.Aborted},
 	}
-	a := run(t, "a", 1, func(c *Config) { c.Connect = 300 * time.Millisecond })
+	a := runPool(t, "a", 1, func(c *Config) { c.Connect = 300 * time.Millisecond })
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -292,7 +292,7 @@
 func TestOversizedMessageIsUnsent(t *testing.T) {
 	is := is.New(t)
 	small := func(c *Config) { c.MessageBytes = batchBytes + 10_000 }
-	a, b := run(t, "a", 1, small), run(t, "b", 1, small)
+	a, b := runPool(t, "a", 1, small), runPool(t, "b", 1, small)
 	a.SetPeers([]instance.Info{b.self})
 	m := message.Message{From: a.self.Ref, To: b.self.Ref, Body: message.Submit{Job: job.Job{
 		Tasks: []task.Task{{ID: "t", Payload: make([]byte, 20_000)}},
@@ -306,7 +306,7 @@
 func BenchmarkSend(b *testing.B) {
 	for _, tasks := range []int{0, 10} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
-			from, to := run(b, "a", 1), run(b, "b", 1)
+			from, to := runPool(b, "a", 1), runPool(b, "b", 1)
 			defer from.stop()
 			defer to.stop()
 			from.SetPeers([]instance.Info{to.self})
--- /dev/null
+++ b/pool/admission.go
@@ -0,0 +1,131 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/message"
+)
+
+const (
+	// firstRetry is the least time that a refused caller is asked to wait.
+	firstRetry = 500 * time.Millisecond
+	// retrySpread is over how much more the callers are spread that are
+	// refused together.
+	retrySpread = time.Second
+	// freshTime is how old a peer's word on what waits there may be to count.
+	freshTime = time.Second
+)
+
+// admit returns why a job is refused as not run, or nil.
+func (m *Machine) admit(now time.Time, j *homeJob) *fault.Error {
+	m.learnNeeds(j.Job)
+	if !m.everFits(j.Job) {
+		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service)
+	}
+	l := m.load(now, j)
+	if l.places == 0 {
+		return fault.New(fault.EndpointsUnavailable, "no endpoint of service %s takes work", j.Queue.Service).WithRetryAfter(m.retryAfter(j))
+	}
+	wait := l.wait(j.undone)
+	end := now.Add(wait).Add(longestChain(j.Steps))
+	switch {
+	case end.After(j.Deadline):
+		return fault.New(fault.DeadlineTooNear, "%d tasks wait for %d places", l.tasks, l.places).WithRetryAfter(wait + m.retryAfter(j))
+	case now.Add(wait).After(j.startBy):
+		return fault.New(fault.QueueFull, "%d tasks wait for %d places, a start in %s comes too late", l.tasks, l.places, wait).WithRetryAfter(wait + m.retryAfter(j))
+	}
+	return nil
+}
+
+// everFits reports whether some listed endpoint could run each step if it were
+// empty. Where no endpoint is known that is not known either.
+func (m *Machine) everFits(j Job) bool {
+	known := false
+	for _, h := range m.ordered {
+		if h.info.Service != j.Queue.Service {
+			continue
+		}
+		known = true
+		fits := true
+		for _, s := range j.Steps {
+			fits = fits && within(s.Needs, h.info.Size)
+		}
+		if fits {
+			return true
+		}
+	}
+	return !known
+}
+
+// load is what a new job finds ahead of it.
+type load struct {
+	// places and free are those of all instances that can be reached.
+	places, free int
+	// tasks wait ahead of the job, of that much work.
+	tasks int
+	work  time.Duration
+}
+
+// load returns what goes before a new job: waiting tasks of its priority or a
+// more urgent one, here and at the peers.
+func (m *Machine) load(now time.Time, j *homeJob) load {
+	service := j.Queue.Service
+	var l load
+	l.places, l.free = m.totals(now, service)
+	for _, q := range m.queue {
+		if q.Queue.Service != service || q.Queue.Priority > j.Queue.Priority {
+			continue
+		}
+		for _, t := range q.waiting {
+			l.tasks++
+			l.work += q.Steps[t.step].Estimate
+		}
+	}
+	for _, p := range m.nearPeers {
+		r := p.room(service)
+		if r == nil {
+			continue
+		}
+		l.places += r.Places
+		l.free += r.Free
+		if now.Sub(p.toldAt) > freshTime {
+			continue
+		}
+		l.addWaits(r.Waits, j.Queue.Priority)
+	}
+	for _, s := range j.Steps {
+		l.work += time.Duration(s.Tasks) * s.Estimate
+	}
+	return l
+}
+
+func (l *load) addWaits(waits []message.Wait, priority int) {
+	for _, w := range waits {
+		if w.Priority <= priority {
+			l.tasks += w.Tasks
+			l.work += w.Work
+		}
+	}
+}
+
+// wait returns when the last of the job's tasks is expected to start: the work
+// ahead of the free places, spread over all places.
+func (l load) wait(tasks int) time.Duration {
+	all := l.tasks + tasks
+	excess := all - l.free
+	if excess <= 0 || l.places == 0 {
+		return 0
+	}
+	mean := l.work / time.Duration(all)
+	return time.Duration(excess) * mean / time.Duration(l.places)
+}
+
+// retryAfter returns when a refused caller should come back. It is spread by
+// the job's ID, so that those refused together come back apart.
+func (m *Machine) retryAfter(j *homeJob) time.Duration {
+	part := float64(xxhash.Sum64String(j.ID)>>11) / (1 << 53)
+	return firstRetry + time.Duration(part*float64(retrySpread))
+}
--- /dev/null
+++ b/pool/held.go
@@ -0,0 +1,371 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/run"
+	"github.com/lovagecrank/lovagecrank/task"
+)
+
+const (
+	// lookWait is how long an endpoint may wait for an end before it answers
+	// a look, so that a lease of a second is renewed at least three times.
+	lookWait = 280 * time.Millisecond
+	// silence is how long an endpoint may answer nothing before its lease is
+	// left to end: a look and one more try.
+	silence = 600 * time.Millisecond
+	// startLease is the share of the lease that a start asks for. The clock
+	// of an endpoint may be 2 % slow.
+	startLease = 0.9
+	// slowestClock is the rate of the slowest clock of an endpoint.
+	slowestClock = 0.98
+	// lapseMargin is added to the end of a lease before it counts as over.
+	lapseMargin = 30 * time.Millisecond
+	// stopAgain is when an unanswered stop is sent again.
+	stopAgain = 150 * time.Millisecond
+	// stopMargin is how long after its time a stop counts as carried out.
+	stopMargin = 30 * time.Millisecond
+	// noteAfter is how long the note of an end waits for the next look where
+	// nothing runs any more, so that it needs no look of its own under load.
+	noteAfter = 400 * time.Millisecond
+	// reclaimAfter is how long an instance that lost an endpoint to another
+	// holder, or to silence, leaves it alone.
+	reclaimAfter = 300 * time.Millisecond
+)
+
+type (
+	// held is one listed endpoint, and what its holder knows of it if that is
+	// this instance.
+	held struct {
+		info        endpoint.Info
+		saidLeaving bool
+
+		// token is zero while another instance holds the endpoint.
+		token int64
+		// lastToken is the highest one used here; fences counts the claims
+		// that a higher one has refused.
+		lastToken int64
+		fences    int
+		// open tells that no run of an earlier holder is left.
+		open       bool
+		releasing  bool
+		claimAfter time.Time
+
+		clock clock
+		// granted is the latest end of a lease that was asked for.
+		granted time.Duration
+		// seen is the number of the last end that was taken note of, told
+		// the one that the endpoint knows of, and telling the one in the look
+		// under way. noteBy is when the endpoint should know of seen.
+		seen, told, telling int64
+		noteBy              time.Time
+		looking             bool
+		lookAgain           time.Time
+		// asked is when the first of the orders was sent that the endpoint
+		// has not answered yet, if there are any.
+		asked time.Time
+
+		runs     map[run.Ref]*heldRun
+		used     task.Needs
+		reserved int
+		health   health
+	}
+
+	// heldRun is a run on an endpoint that this instance holds.
+	heldRun struct {
+		ref   run.Ref
+		home  instance.Ref
+		needs task.Needs
+		// estimate is the expected run time.
+		estimate time.Duration
+		sent     time.Time
+		// began is when the endpoint accepted the run; zero before.
+		began time.Time
+		// stopping is when a stop was first asked for, stopSent when it was
+		// last sent, and stopped when the endpoint accepted it.
+		stopping, stopSent, stopped time.Time
+		// unwanted tells that the home does not wait for the run any more.
+		unwanted bool
+		progress progress
+	}
+
+	// clock is an endpoint's clock as its last answer told it.
+	clock struct {
+		reading        time.Duration
+		sent, received time.Time
+	}
+)
+
+func newHeld(info endpoint.Info) *held {
+	return &held{info: info, runs: map[run.Ref]*heldRun{}}
+}
+
+// held reports whether this instance holds the endpoint.
+func (h *held) held() bool { return h.token != 0 }
+
+// quiet reports whether nothing runs there and no end is left to be noted.
+func (h *held) quiet() bool { return len(h.runs) == 0 && h.seen == h.told && !h.looking }
+
+// drop forgets all that only the holder knows.
+func (h *held) drop() {
+	h.token, h.open, h.releasing = 0, false, false
+	h.seen, h.told, h.telling, h.granted = 0, 0, 0, 0
+	h.used, h.reserved = task.Needs{}, 0
+	clear(h.runs)
+}
+
+// ask notes that an order is sent.
+func (h *held) ask(now time.Time) {
+	if len(h.runs) == 0 && !h.looking {
+		h.asked = now
+	}
+}
+
+// silent reports whether the endpoint has left all orders unanswered for too
+// long.
+func (h *held) silent(now time.Time) bool {
+	return (len(h.runs) > 0 || h.looking) && now.Sub(h.asked) > silence
+}
+
+func (h *held) order() Order { return Order{Endpoint: h.info, Token: h.token} }
+
+// known reports whether the endpoint has told its clock.
+func (c clock) known() bool { return !c.received.IsZero() }
+
+// earliest returns the lowest value that the clock can have now.
+func (c clock) earliest(now time.Time) time.Duration {
+	return c.reading + time.Duration(slowestClock*float64(now.Sub(c.received)))
+}
+
+// latest returns the highest value that a sound clock can have now.
+func (c clock) latest(now time.Time) time.Duration { return c.reading + now.Sub(c.sent) }
+
+// claim makes this instance the holder: it looks at the endpoint with a token
+// higher than any before, without renewing what runs there.
+func (m *Machine) claim(now time.Time, h *held, out *Output) {
+	h.drop()
+	h.token = m.newToken(now, h)
+	m.look(now, h, out)
+}
+
+// newToken returns a fencing token that rises with the time of day and differs
+// between instances. Where a higher one was seen, as after a step of a clock,
+// it goes further ahead with each refusal.
+func (m *Machine) newToken(now time.Time, h *held) int64 {
+	ahead := int64(0)
+	if h.fences > 0 {
+		ahead = int64(1000) << min(h.fences, 8)
+	}
+	own := int64(xxhash.Sum64String(m.cfg.Self.ID) & 0xff)
+	h.lastToken = max((now.UnixMilli()+ahead)<<8|own, h.lastToken+1)
+	return h.lastToken
+}
+
+// look sends a look unless one is under way.
+func (m *Machine) look(now time.Time, h *held, out *Output) {
+	if h.looking || now.Before(h.lookAgain) {
+		return
+	}
+	l := Look{Order: h.order(), Seen: h.seen}
+	if h.open && len(h.runs) > 0 {
+		l.Wait = lookWait
+	}
+	if h.open && h.clock.known() && m.renews(now, h) {
+		l.Until = h.clock.latest(now) + m.cfg.LeaseTime
+		h.granted = max(h.granted, l.Until)
+	}
+	h.ask(now)
+	h.looking = true
+	h.telling = h.seen
+	out.Looks = append(out.Looks, l)
+}
+
+// renews reports whether the lease is to be renewed: something wanted runs
+// there and the endpoint answers.
+func (m *Machine) renews(now time.Time, h *held) bool {
+	if h.silent(now) {
+		return false
+	}
+	for _, r := range h.runs {
+		if !r.unwanted {
+			return true
+		}
+	}
+	return false
+}
+
+// LookReplied takes in what an endpoint answered to a look.
+func (m *Machine) LookReplied(now time.Time, reply LookReply, out *Output) {
+	h, ok := m.endpoints[reply.Endpoint]
+	if !ok {
+		return
+	}
+	h.looking = false
+	if reply.Token != h.token {
+		m.settle(now, out)
+		return
+	}
+	if reply.Verdict == Accepted {
+		m.looked(now, h, reply, out)
+	} else {
+		m.orderFailed(now, h, reply.Reply, out)
+	}
+	m.tend(now, h, out)
+	m.settle(now, out)
+}
+
+func (m *Machine) looked(now time.Time, h *held, reply LookReply, out *Output) {
+	if !reply.Born.IsZero() && !h.info.Born.IsZero() && !reply.Born.Equal(h.info.Born) {
+		m.reborn(now, h, out)
+		h.info.Born = reply.Born
+		return
+	}
+	h.info.Born = reply.Born
+	m.hear(now, h, reply.Reply)
+	h.told = h.telling
+	if reply.Leaving && !h.info.Leaving {
+		h.info.Leaving, h.saidLeaving = true, true
+		out.log(event.EndpointLeaving, h.info.ID, "the endpoint says so")
+	}
+	for _, e := range reply.Ended {
+		if e.Number > h.seen {
+			h.seen = e.Number
+			h.noteBy = now.Add(noteAfter)
+			m.finish(now, h, e.Run, e.Status, out)
+		}
+	}
+	m.checkRunning(now, h, reply, out)
+}
+
+// hear notes that an endpoint answered.
+func (m *Machine) hear(now time.Time, h *held, reply Reply) {
+	h.asked = now
+	if reply.Clock > 0 {
+		h.clock = clock{reading: reply.Clock, sent: reply.Sent, received: now}
+	}
+}
+
+// checkRunning compares what the endpoint runs with what it should run.
+func (m *Machine) checkRunning(now time.Time, h *held, reply LookReply, out *Output) {
+	strangers := 0
+	listed := make(map[run.Ref]float64, len(reply.Running))
+	for _, r := range reply.Running {
+		listed[r.Run] = r.Percent
+		if h.runs[r.Run] == nil {
+			strangers++
+			out.Stops = append(out.Stops, Stop{Order: h.order(), Run: r.Run})
+		}
+	}
+	if !h.open && strangers == 0 {
+		h.open = true
+		h.fences = 0
+		m.standing.urgent = true
+	}
+	if strangers > 0 {
+		h.lookAgain = now.Add(m.cfg.StopTime / 2)
+	}
+	for _, r := range h.sorted() {
+		percent, runs := listed[r.ref]
+		switch {
+		case runs:
+			r.progress.observe(now, percent)
+		case !r.began.IsZero() && r.began.Before(reply.Sent):
+			m.finish(now, h, r.ref, run.Lapsed, out)
+		}
+	}
+}
+
+// sorted returns the runs in the order of their tasks' names.
+func (h *held) sorted() []*heldRun {
+	list := make([]*heldRun, 0, len(h.runs))
+	for _, r := range h.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *heldRun) int { return strings.Compare(a.ref.Task, b.ref.Task) })
+	return list
+}
+
+// orderFailed takes in a reply that says more of the endpoint than of the
+// order.
+func (m *Machine) orderFailed(now time.Time, h *held, reply Reply, out *Output) {
+	switch reply.Verdict {
+	case Fenced:
+		m.hear(now, h, reply)
+		m.fenced(now, h, out)
+	case Reborn, Gone:
+		m.reborn(now, h, out)
+		h.health.suspend(now)
+	case Unanswered:
+		h.lookAgain = now.Add(tickPeriod)
+	default:
+		m.hear(now, h, reply)
+		h.lookAgain = now.Add(tickPeriod)
+	}
+}
+
+// fenced gives the endpoint up to a holder with a higher token. Its runs are
+// over once that one has stopped them or the lease has ended.
+func (m *Machine) fenced(now time.Time, h *held, out *Output) {
+	if h.open {
+		out.log(event.EndpointFenced, h.info.ID, "another instance holds it")
+		h.fences = 0
+	} else {
+		h.fences++
+	}
+	for _, r := range h.sorted() {
+		m.limbo(now, r)
+	}
+	h.drop()
+	h.claimAfter = now.Add(reclaimAfter)
+	m.standing.urgent = true
+}
+
+// reborn takes in that the endpoint runs nothing of before: it has started
+// again, or nothing listens there.
+func (m *Machine) reborn(now time.Time, h *held, out *Output) {
+	for _, r := range h.sorted() {
+		m.finish(now, h, r.ref, run.Lapsed, out)
+	}
+	h.drop()
+	h.clock = clock{}
+	h.info.Born = time.Time{}
+	h.claimAfter = now.Add(reclaimAfter)
+	m.standing.urgent = true
+}
+
+// tend does what is due at a held endpoint.
+func (m *Machine) tend(now time.Time, h *held, out *Output) {
+	if !h.held() {
+		return
+	}
+	if m.lapsed(now, h) {
+		out.log(event.EndpointSilent, h.info.ID, "it has not answered for longer than its lease")
+		m.reborn(now, h, out)
+		h.health.suspend(now)
+		return
+	}
+	for _, r := range h.sorted() {
+		m.tendRun(now, h, r, out)
+	}
+	if !h.open || len(h.runs) > 0 || h.seen > h.told && !now.Before(h.noteBy) {
+		m.look(now, h, out)
+	}
+}
+
+// lapsed reports whether every lease that the endpoint may know of is over.
+func (m *Machine) lapsed(now time.Time, h *held) bool {
+	if !h.silent(now) {
+		return false
+	}
+	if !h.clock.known() {
+		return now.Sub(h.asked) > m.cfg.LeaseTime+silence
+	}
+	return h.clock.earliest(now) > h.granted+lapseMargin
+}
--- /dev/null
+++ b/pool/machine.go
@@ -0,0 +1,185 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/task"
+)
+
+const (
+	// gatherTime is how long a new instance waits for its peers before it
+	// claims endpoints: one set-up of a stream and a round trip.
+	gatherTime = 600 * time.Millisecond
+	// tickPeriod is the longest time between two ticks, so that a freeze of
+	// the process shows.
+	tickPeriod = 50 * time.Millisecond
+	// frozenTime is how late a tick must be to count as a freeze: well under
+	// the time after which a caller asks elsewhere.
+	frozenTime = 600 * time.Millisecond
+)
+
+type (
+	// Config sets up a Machine.
+	Config struct {
+		Self instance.Info
+		// LeaseTime is the longest lease that an endpoint gives.
+		LeaseTime time.Duration
+		// StopTime is how long an endpoint takes to end a run by order.
+		StopTime time.Duration
+	}
+
+	// Machine is the home and the holder of one instance. It is not safe for
+	// concurrent use.
+	Machine struct {
+		cfg Config
+		// begun is when the instance started, and ticked when the last input
+		// came.
+		begun, ticked time.Time
+		version       uint64
+		leaving       bool
+
+		// endpoints are those that the platform lists, by ID; ordered has
+		// them in the order of their IDs.
+		endpoints map[string]*held
+		ordered   []*held
+
+		peers map[instance.Ref]*peer
+		// nearPeers are the peers, those of the own data centre first.
+		nearPeers []*peer
+		// listed is how many peers the platform lists.
+		listed int
+
+		jobs  map[string]*homeJob
+		calls map[uint64]*homeJob
+		// queue holds the jobs with waiting tasks, the most urgent first.
+		queue []*homeJob
+		// tasks are those of all jobs, by name.
+		tasks map[string]*homeTask
+		// ghosts are runs of jobs that were answered before they ended.
+		ghosts map[string]ghost
+		// parked are jobs that wait for ghosts of the same ID, by ID.
+		parked map[string]*homeJob
+
+		offers    map[uint64]*offer
+		lastOffer uint64
+		// usual is what a task of each service usually needs.
+		usual map[string]task.Needs
+
+		standing standingState
+	}
+)
+
+// New returns the machine of an instance that starts now.
+func New(now time.Time, cfg Config) *Machine {
+	return &Machine{
+		cfg:       cfg,
+		begun:     now,
+		ticked:    now,
+		endpoints: map[string]*held{},
+		peers:     map[instance.Ref]*peer{},
+		jobs:      map[string]*homeJob{},
+		calls:     map[uint64]*homeJob{},
+		tasks:     map[string]*homeTask{},
+		ghosts:    map[string]ghost{},
+		parked:    map[string]*homeJob{},
+		offers:    map[uint64]*offer{},
+		usual:     map[string]task.Needs{},
+	}
+}
+
+// SetEndpoints replaces the list of the endpoints that the platform knows.
+func (m *Machine) SetEndpoints(now time.Time, infos []endpoint.Info, out *Output) {
+	listed := make(map[string]bool, len(infos))
+	for _, info := range infos {
+		listed[info.ID] = true
+		m.setEndpoint(now, info, out)
+	}
+	for _, h := range m.ordered {
+		if !listed[h.info.ID] && !h.info.Leaving {
+			h.info.Leaving = true
+			out.log(event.EndpointLeaving, h.info.ID, "the platform's list does not have it any more")
+		}
+	}
+	m.forgetUnlisted(listed)
+	m.settle(now, out)
+}
+
+func (m *Machine) setEndpoint(now time.Time, info endpoint.Info, out *Output) {
+	h, ok := m.endpoints[info.ID]
+	if !ok {
+		h = newHeld(info)
+		m.endpoints[info.ID] = h
+		m.ordered = append(m.ordered, h)
+		slices.SortFunc(m.ordered, func(a, b *held) int { return cmp.Compare(a.info.ID, b.info.ID) })
+		out.log(event.EndpointAdded, info.ID, info.Service+" at "+info.Address.String())
+		return
+	}
+	if info.Leaving && !h.info.Leaving {
+		out.log(event.EndpointLeaving, info.ID, "the platform's list says so")
+	}
+	reborn := !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born) || info.Address != h.info.Address
+	if reborn {
+		m.reborn(now, h, out)
+	}
+	said := h.saidLeaving && !reborn
+	born := h.info.Born
+	h.info = info
+	if h.info.Born.Before(born) {
+		h.info.Born = born
+	}
+	h.info.Leaving = h.info.Leaving || said
+}
+
+// forgetUnlisted drops the endpoints that the list lacks and that run nothing.
+func (m *Machine) forgetUnlisted(listed map[string]bool) {
+	m.ordered = slices.DeleteFunc(m.ordered, func(h *held) bool {
+		if listed[h.info.ID] || len(h.runs) > 0 || h.looking {
+			return false
+		}
+		delete(m.endpoints, h.info.ID)
+		return true
+	})
+}
+
+// SetVersion tells which version of the configuration is in force.
+func (m *Machine) SetVersion(now time.Time, version uint64, out *Output) {
+	m.version = version
+	m.standing.urgent = true
+	m.settle(now, out)
+}
+
+// BeginStop makes the machine hand its endpoints over and take no new jobs.
+// What it has goes on.
+func (m *Machine) BeginStop(now time.Time, out *Output) {
+	m.leaving = true
+	m.standing.urgent = true
+	m.settle(now, out)
+}
+
+// Tick does what is due.
+func (m *Machine) Tick(now time.Time, out *Output) {
+	if now.Sub(m.ticked) > frozenTime {
+		m.Thaw(now, out)
+	}
+	m.ticked = now
+	m.expireJobs(now, out)
+	m.expireOffers(now)
+	for _, h := range m.ordered {
+		m.tend(now, h, out)
+	}
+	m.settle(now, out)
+}
+
+// settle does all that the last input made possible and says when Tick is
+// wanted.
+func (m *Machine) settle(now time.Time, out *Output) {
+	m.assign(now, out)
+	m.place(now, out)
+	m.tell(now, out)
+	out.wakeAt(m.ticked.Add(tickPeriod))
+}
--- /dev/null
+++ b/pool/peers.go
@@ -0,0 +1,143 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+)
+
+// introduceTime is how long a peer that has joined may take to tell what it
+// holds: one message.
+const introduceTime = 300 * time.Millisecond
+
+type (
+	// peer is another instance with which a stream is open.
+	peer struct {
+		info   instance.Info
+		joined time.Time
+		// told is what it told last; introduced tells that it did.
+		told       message.Standing
+		introduced bool
+		toldAt     time.Time
+		holds      map[string]bool
+	}
+)
+
+// SetInstances tells how many other instances the platform lists.
+func (m *Machine) SetInstances(now time.Time, peers int, out *Output) {
+	m.listed = peers
+	m.settle(now, out)
+}
+
+// PeerJoined takes in that a stream with a peer is open.
+func (m *Machine) PeerJoined(now time.Time, info instance.Info, out *Output) {
+	p := &peer{info: info, joined: now}
+	m.peers[info.Ref] = p
+	m.nearPeers = append(m.nearPeers, p)
+	slices.SortFunc(m.nearPeers, m.compareNearness)
+	m.standing.newcomers = append(m.standing.newcomers, info.Ref)
+	out.log(event.PeerJoined, info.ID, info.Address.String())
+	m.settle(now, out)
+}
+
+func (m *Machine) compareNearness(a, b *peer) int {
+	near := func(p *peer) int {
+		if p.info.DataCentre == m.cfg.Self.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(near(a)-near(b), cmp.Compare(a.info.ID, b.info.ID), cmp.Compare(a.info.Incarnation, b.info.Incarnation))
+}
+
+// PeerLost takes in that the stream with a peer has ended. The runs that it is
+// home to are stopped, since its callers may ask elsewhere; what becomes of the
+// own tasks there is known once its leases must have ended.
+func (m *Machine) PeerLost(now time.Time, ref instance.Ref, out *Output) {
+	p, ok := m.peers[ref]
+	if !ok {
+		return
+	}
+	delete(m.peers, ref)
+	m.nearPeers = slices.DeleteFunc(m.nearPeers, func(o *peer) bool { return o == p })
+	out.log(event.PeerLost, ref.ID, "the stream has ended")
+	for _, h := range m.ordered {
+		m.stopRunsOf(now, h, ref, out)
+	}
+	m.dropOffers(ref)
+	m.holderLost(now, ref, out)
+	m.settle(now, out)
+}
+
+// gathered reports whether the peers that are listed have joined, or had time
+// to.
+func (m *Machine) gathered(now time.Time) bool {
+	if now.Sub(m.begun) >= gatherTime {
+		return true
+	}
+	return m.listed > 0 && len(m.peers) >= m.listed
+}
+
+// owner returns which instance should hold the endpoint: by rendezvous hash
+// over those of its data centre that stay, or over all if it has none.
+func (m *Machine) owner(h *held) instance.Ref {
+	best, bestScore := instance.Ref{}, uint64(0)
+	bestNear := false
+	consider := func(ref instance.Ref) {
+		near := ref.DataCentre == h.info.DataCentre
+		score := xxhash.Sum64String(h.info.ID + "\x00" + ref.ID)
+		if best == (instance.Ref{}) || near && !bestNear || near == bestNear && score > bestScore {
+			best, bestScore, bestNear = ref, score, near
+		}
+	}
+	if !m.leaving {
+		consider(m.cfg.Self.Ref)
+	}
+	for _, p := range m.nearPeers {
+		if p.introduced && !p.told.Leaving {
+			consider(p.info.Ref)
+		}
+	}
+	return best
+}
+
+// heldByPeer reports whether a peer says that it holds the endpoint, or may be
+// about to say so.
+func (m *Machine) heldByPeer(now time.Time, h *held) bool {
+	for _, p := range m.nearPeers {
+		if p.holds[h.info.ID] {
+			return true
+		}
+		if !p.introduced && now.Sub(p.joined) < introduceTime {
+			return true
+		}
+	}
+	return false
+}
+
+// assign claims the endpoints that this instance should hold and releases
+// those that another one should.
+func (m *Machine) assign(now time.Time, out *Output) {
+	if !m.gathered(now) {
+		return
+	}
+	for _, h := range m.ordered {
+		mine := m.owner(h) == m.cfg.Self.Ref
+		switch {
+		case !h.held() && mine && !h.info.Leaving && !now.Before(h.claimAfter) && !m.heldByPeer(now, h):
+			m.claim(now, h, out)
+		case h.held():
+			h.releasing = !mine && m.owner(h) != (instance.Ref{})
+			if h.releasing && h.quiet() {
+				h.drop()
+				m.standing.urgent = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pool/queries.go
@@ -0,0 +1,53 @@
+package pool
+
+import "time"
+
+// View is what others may read of the machine.
+type View struct {
+	// Ready tells that jobs can be run: some instance that can be reached
+	// holds endpoints that take work.
+	Ready bool
+	// Jobs are those not answered yet, and Waiting those of them of which no
+	// task has begun, by queue.
+	Jobs    int
+	Waiting map[string]int
+	// Held and Open count endpoints; Running counts runs on them.
+	Held, Open, Running int
+	Peers               int
+}
+
+// View returns a view of the machine.
+func (m *Machine) View(now time.Time) View {
+	v := View{Jobs: len(m.jobs), Peers: len(m.peers), Waiting: map[string]int{}}
+	for _, j := range m.jobs {
+		if !j.maybeRan() {
+			v.Waiting[j.Queue.Name]++
+		}
+	}
+	for _, h := range m.ordered {
+		if !h.held() {
+			continue
+		}
+		v.Held++
+		v.Running += len(h.runs)
+		if h.open {
+			v.Open++
+		}
+	}
+	v.Ready = !m.leaving && (v.Open > 0 || m.peersTakeWork())
+	return v
+}
+
+func (m *Machine) peersTakeWork() bool {
+	for _, p := range m.nearPeers {
+		for _, r := range p.told.Rooms {
+			if r.Places > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Knows reports whether a job is in work here.
+func (m *Machine) Knows(id string) bool { return m.jobs[id] != nil }
--- /dev/null
+++ b/pool/queue.go
@@ -0,0 +1,47 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// compareUrgency orders jobs: by priority, then by when they must start.
+func compareUrgency(a, b *homeJob) int {
+	return cmp.Or(
+		cmp.Compare(a.Queue.Priority, b.Queue.Priority),
+		a.startBy.Compare(b.startBy),
+		strings.Compare(a.ID, b.ID),
+	)
+}
+
+func sortJobs(jobs []*homeJob) { slices.SortFunc(jobs, compareUrgency) }
+
+// sortedJobs returns all jobs, the most urgent first.
+func (m *Machine) sortedJobs() []*homeJob {
+	list := make([]*homeJob, 0, len(m.jobs))
+	for _, j := range m.jobs {
+		list = append(list, j)
+	}
+	sortJobs(list)
+	return list
+}
+
+func (m *Machine) enqueue(j *homeJob) {
+	if j.queued {
+		return
+	}
+	j.queued = true
+	i, _ := slices.BinarySearchFunc(m.queue, j, compareUrgency)
+	m.queue = slices.Insert(m.queue, i, j)
+}
+
+func (m *Machine) dequeue(j *homeJob) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	if i := slices.Index(m.queue, j); i >= 0 {
+		m.queue = slices.Delete(m.queue, i, i+1)
+	}
+}
--- /dev/null
+++ b/pool/uncertain.go
@@ -0,0 +1,103 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/instance"
+)
+
+// lapseTime returns after how long a lease that nobody renews is surely over.
+func (m *Machine) lapseTime() time.Duration {
+	return time.Duration(float64(m.cfg.LeaseTime)/slowestClock) + lapseMargin
+}
+
+// limbo takes in that a run's fate is not known until the lease has ended. A
+// home elsewhere is told by nothing: it answers its caller when its time is
+// over, and the stop or the lease ends the run.
+func (m *Machine) limbo(now time.Time, r *heldRun) {
+	if r.home != m.cfg.Self.Ref {
+		return
+	}
+	if t := m.tasks[r.ref.Task]; t != nil && t.number == r.ref.Number {
+		t.notBefore = now.Add(m.lapseTime())
+	}
+}
+
+// holderLost takes in that the holder of some placed tasks cannot be reached.
+// It stops their runs as soon as it notices that, or they end with the lease.
+func (m *Machine) holderLost(now time.Time, holder instance.Ref, out *Output) {
+	for name, g := range m.ghosts {
+		if g.holder == holder {
+			delete(m.ghosts, name)
+		}
+	}
+	for _, j := range m.sortedJobs() {
+		lost := 0
+		for _, tasks := range j.steps {
+			for _, t := range tasks {
+				if t.state == placed && t.holder == holder {
+					t.notBefore = now.Add(m.lapseTime())
+					lost++
+				}
+			}
+		}
+		if lost > 0 {
+			out.log(event.TasksUncertain, j.ID, "the holder "+holder.ID+" of some runs is lost")
+		}
+	}
+}
+
+// resolve lets tasks whose last run has surely ended wait for a place again,
+// and answers the jobs that this would make useless.
+func (m *Machine) resolve(now time.Time, out *Output) {
+	for _, j := range m.sortedJobs() {
+		for _, tasks := range j.steps {
+			for _, t := range tasks {
+				m.resolveTask(now, t, out)
+			}
+		}
+	}
+}
+
+func (m *Machine) resolveTask(now time.Time, t *homeTask, out *Output) {
+	if t.state != placed || t.notBefore.IsZero() || t.job.ended {
+		return
+	}
+	j := t.job
+	if t.notBefore.Add(j.Steps[t.step].Estimate).After(earlier(j.late, j.Deadline)) {
+		m.end(now, j, fault.New(fault.OutcomeUnknown, "the holder of task %s cannot be reached", t.name), out)
+		return
+	}
+	if now.Before(t.notBefore) {
+		return
+	}
+	t.notBefore = time.Time{}
+	j.ran = true
+	m.wait(t)
+}
+
+// Thaw takes in that the process stood still. The callers of its jobs may have
+// asked elsewhere, so that nothing of them may start any more.
+func (m *Machine) Thaw(now time.Time, out *Output) {
+	out.log(event.Thawed, m.cfg.Self.ID, "no input for "+now.Sub(m.ticked).String())
+	m.ticked = now
+	for _, j := range m.sortedJobs() {
+		if len(j.waiting) == 0 {
+			continue
+		}
+		if j.maybeRan() {
+			m.end(now, j, fault.New(fault.OutcomeUnknown, "the instance stood still"), out)
+			continue
+		}
+		m.end(now, j, fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second), out)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/runner/follow.go
@@ -0,0 +1,220 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/pool"
+	"github.com/lovagecrank/lovagecrank/route"
+)
+
+const (
+	// routesWait is how long the store may wait for a change of the
+	// configuration. A connection may go silent, and a change must be in
+	// force within two seconds.
+	routesWait = 800 * time.Millisecond
+	// endpointsPeriod is how often the list of endpoints is read: a leaving
+	// one must get nothing new after two seconds.
+	endpointsPeriod = 600 * time.Millisecond
+	// firstPeriod is the same until the first list is here.
+	firstPeriod = 100 * time.Millisecond
+	// instancesPeriod is how often the list of instances is read, and
+	// gatherPeriod the same in the first gatherFor of a new instance.
+	instancesPeriod = 2 * time.Second
+	gatherPeriod    = 250 * time.Millisecond
+	gatherFor       = 1500 * time.Millisecond
+	// announcePeriod is how often an instance announces itself, and staleTime
+	// how long after its last announcement it counts as gone. dropTime is how
+	// long its entry is kept.
+	announcePeriod = 10 * time.Second
+	staleTime      = 35 * time.Second
+	dropTime       = 2 * time.Minute
+	// storePause is the pause after a call to the store that failed.
+	storePause = 300 * time.Millisecond
+)
+
+// followRoutes brings versions of the configuration into force.
+func (r *Runner) followRoutes() {
+	cursor := uint64(0)
+	for r.ctx.Err() == nil {
+		change, err := r.Store.Routes(r.ctx, cursor, routesWait)
+		if err != nil {
+			r.pause(storePause)
+			continue
+		}
+		cursor = change.Cursor
+		if change.Document != nil {
+			r.learnRoutes(change.Document)
+		} else if r.routes.Load() == nil {
+			r.pause(firstPeriod)
+		}
+	}
+}
+
+// learnRoutes brings a configuration into force if it is newer than the one in
+// force, whoever brought it.
+func (r *Runner) learnRoutes(document []byte) {
+	d, err := r.DecodeRoutes(document)
+	if err != nil {
+		r.Record(time.Now(), event.Record{Kind: event.EntryUnreadable, Subject: "configuration", Detail: err.Error()})
+		return
+	}
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) {
+		if d.Version <= r.routes.Load().Version() {
+			return
+		}
+		r.routes.Store(route.NewTable(d))
+		r.document.Store(&document)
+		m.SetVersion(now, d.Version, out)
+		out.Events = append(out.Events, event.Record{Kind: event.ConfigurationInForce, Subject: version(d.Version)})
+	})
+}
+
+// followEndpoints keeps the list of endpoints.
+func (r *Runner) followEndpoints() {
+	list := endpoint.NewListing()
+	cursor, lost := uint64(0), false
+	for r.ctx.Err() == nil {
+		change, err := r.Store.Endpoints(r.ctx, cursor)
+		now := time.Now()
+		if err != nil {
+			list.StoreLost()
+			if !lost && r.ctx.Err() == nil {
+				r.Record(now, event.Record{Kind: event.StoreDown, Subject: "store", Detail: err.Error()})
+			}
+			lost = true
+			r.pause(storePause)
+			continue
+		}
+		if lost {
+			r.Record(now, event.Record{Kind: event.StoreUp, Subject: "store"})
+			lost = false
+		}
+		list.StoreBack(now)
+		cursor = change.Cursor
+		if r.applyEndpoints(now, list, change) {
+			r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetEndpoints(now, list.Infos(), out) })
+		}
+		r.pause(endpointsPeriod)
+	}
+}
+
+// applyEndpoints takes a change into the list and reports whether it differs.
+func (r *Runner) applyEndpoints(now time.Time, list *endpoint.Listing, change EndpointsChange) bool {
+	changed := change.Whole
+	if change.Whole {
+		list.Replace(now, change.Put)
+	} else {
+		for _, info := range change.Put {
+			changed = list.Put(info) || changed
+		}
+	}
+	for _, id := range change.Gone {
+		list.Remove(now, id)
+	}
+	for _, err := range change.Unreadable {
+		r.Record(now, event.Record{Kind: event.EntryUnreadable, Subject: "endpoint", Detail: err.Error()})
+	}
+	return list.Expire(now) || changed
+}
+
+// followInstances keeps the list of instances and announces this one.
+func (r *Runner) followInstances() {
+	begun := time.Now()
+	seen := map[string]sighting{}
+	var announced time.Time
+	for r.ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(announced) >= announcePeriod && !r.stopping.Load() && r.Store.Announce(r.ctx, r.cfg.Self) == nil {
+			announced = now
+		}
+		list, err := r.Store.Instances(r.ctx)
+		if err == nil {
+			r.setInstances(time.Now(), list, seen)
+		}
+		period := instancesPeriod
+		if now.Sub(begun) < gatherFor || err != nil {
+			period = gatherPeriod
+		}
+		r.pause(period/2 + rand.N(period))
+	}
+}
+
+// sighting is when an announcement was first seen here.
+type sighting struct {
+	version uint64
+	at      time.Time
+}
+
+func (r *Runner) setInstances(now time.Time, list []Listed, seen map[string]sighting) {
+	infos := make([]instance.Info, 0, len(list))
+	for _, l := range list {
+		s, ok := seen[l.Info.ID]
+		if !ok || s.version != l.Version {
+			s = sighting{l.Version, now}
+			seen[l.Info.ID] = s
+		}
+		if l.Info.ID == r.cfg.Self.ID {
+			continue
+		}
+		switch age := now.Sub(s.at); {
+		case age > dropTime:
+			r.forget(l)
+		case age <= staleTime:
+			infos = append(infos, l.Info)
+		}
+	}
+	r.peers.SetPeers(infos)
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetInstances(now, len(infos), out) })
+}
+
+func (r *Runner) forget(l Listed) {
+	if err := r.Store.Forget(r.ctx, l); err != nil && r.ctx.Err() == nil {
+		r.Record(time.Now(), event.Record{Kind: event.StoreDown, Subject: l.Info.ID, Detail: "its stale entry could not be removed: " + err.Error()})
+	}
+}
+
+// pause waits, or returns at the context's end.
+func (r *Runner) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.ctx.Done():
+	}
+}
+
+// withdraw removes this instance from the list at its planned stop.
+func (r *Runner) withdraw(ctx context.Context) error {
+	list, err := r.Store.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	for _, l := range list {
+		if l.Info.Ref == r.cfg.Self.Ref {
+			return r.Store.Forget(ctx, l)
+		}
+	}
+	return nil
+}
+
+// shareRoutes asks a peer that has a newer configuration for it.
+func (r *Runner) shareRoutes(m message.Message) {
+	switch b := m.Body.(type) {
+	case message.Standing:
+		if b.Version > r.routes.Load().Version() {
+			r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: m.From, Body: message.RoutesRequest{}})
+		}
+	case message.RoutesRequest:
+		if document := r.document.Load(); document != nil {
+			r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: m.From, Body: message.Routes{Document: *document}})
+		}
+	case message.Routes:
+		r.learnRoutes(b.Document)
+	}
+}
