Play failures against the pool in a virtual world; end what nobody tells of

Cause: TestFailures and TestFailuresTogether (new: instances, endpoints and callers under a virtual clock, checked by an observer that shares no state) failed in four ways: runs of answered jobs were remembered for ever when their holder was lost; a home elsewhere was not told that its holder had lost the endpoint; two holders that could not reach each other took an endpoint from one another without end; runs that had been started on the next boot of an endpoint counted as gone with the boot before, and started twice. Change: ghosts end after a lease; status uncertain to homes; a pause that doubles after a later holder was met, and an instance that reaches fewer than half of the others claims only in its own data centre; another boot's list decides what runs, not the boot before.

--- a/pool/held.go
+++ b/pool/held.go
@@ -35,9 +35,14 @@
 	// noteAfter is how long the note of an end waits for the next look where
 	// nothing runs any more, so that it needs no look of its own under load.
 	noteAfter = 400 * time.Millisecond
-	// reclaimAfter is how long an instance that lost an endpoint to another
-	// holder, or to silence, leaves it alone.
+	// reclaimAfter is how long an instance leaves an endpoint alone that was
+	// silent or has started anew.
 	reclaimAfter = 300 * time.Millisecond
+	// fencedPause is the same for an endpoint that has a later holder; it
+	// doubles up to longestFencedPause, so that two holders that cannot reach
+	// each other do not take it from one another again and again.
+	fencedPause        = time.Second
+	longestFencedPause = 8 * time.Second
 )
 
 type (
@@ -55,6 +60,7 @@
 		fences    int
 		// open tells that no run of an earlier holder is left.
 		open       bool
+		openAt     time.Time
 		releasing  bool
 		claimAfter time.Time
 
@@ -222,13 +228,11 @@
 }
 
 func (m *Machine) looked(now time.Time, h *held, reply LookReply, out *Output) {
+	m.hear(now, h, reply.Reply)
 	if !reply.Born.IsZero() && !h.info.Born.IsZero() && !reply.Born.Equal(h.info.Born) {
-		m.reborn(now, h, out)
-		h.info.Born = reply.Born
-		return
+		h.countAnew(now, m.cfg.LeaseTime)
 	}
 	h.info.Born = reply.Born
-	m.hear(now, h, reply.Reply)
 	h.told = h.telling
 	if reply.Leaving && !h.info.Leaving {
 		h.info.Leaving, h.saidLeaving = true, true
@@ -244,6 +248,14 @@
 	m.checkRunning(now, h, reply, out)
 }
 
+// countAnew takes in that another boot of the endpoint answers: its ends and
+// its clock start anew. What ran before is missing in its list; orders that
+// came after the start are in it.
+func (h *held) countAnew(now time.Time, lease time.Duration) {
+	h.seen, h.told, h.telling = 0, 0, 0
+	h.granted = h.clock.latest(now) + lease
+}
+
 // hear notes that an endpoint answered.
 func (m *Machine) hear(now time.Time, h *held, reply Reply) {
 	h.asked = now
@@ -265,7 +277,7 @@
 	}
 	if !h.open && strangers == 0 {
 		h.open = true
-		h.fences = 0
+		h.openAt = now
 		m.standing.urgent = true
 	}
 	if strangers > 0 {
@@ -315,22 +327,25 @@
 func (m *Machine) fenced(now time.Time, h *held, out *Output) {
 	if h.open {
 		out.log(event.EndpointFenced, h.info.ID, "another instance holds it")
-		h.fences = 0
-	} else {
-		h.fences++
 	}
+	h.claimAfter = now.Add(min(fencedPause<<min(h.fences, 8), longestFencedPause))
+	h.fences++
 	for _, r := range h.sorted() {
-		m.limbo(now, r)
+		m.report(now, h, r, run.Uncertain, out)
 	}
 	h.drop()
-	h.claimAfter = now.Add(reclaimAfter)
 	m.standing.urgent = true
 }
 
 // reborn takes in that the endpoint runs nothing of before: it has started
-// again, or nothing listens there.
+// again, or nothing listens there. Orders under way may still reach the next
+// boot.
 func (m *Machine) reborn(now time.Time, h *held, out *Output) {
 	for _, r := range h.sorted() {
+		if r.began.IsZero() {
+			m.report(now, h, r, run.Uncertain, out)
+			continue
+		}
 		m.finish(now, h, r.ref, run.Lapsed, out)
 	}
 	h.drop()
@@ -351,6 +366,9 @@
 		h.health.suspend(now)
 		return
 	}
+	if h.open && now.Sub(h.openAt) > longestFencedPause {
+		h.fences = 0
+	}
 	for _, r := range h.sorted() {
 		m.tendRun(now, h, r, out)
 	}
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -100,6 +102,9 @@
 		job    string
 		number int64
 		holder instance.Ref
+		// until is when the run has surely ended though nobody tells; zero
+		// while its holder can be reached.
+		until time.Time
 	}
 )
 
@@ -224,7 +229,7 @@
 func (m *Machine) updated(now time.Time, u message.RunUpdate, out *Output) {
 	t := m.tasks[u.Run.Task]
 	if t == nil || t.number != u.Run.Number || t.state != placed {
-		m.exorcise(u, out)
+		m.exorcise(now, u)
 		return
 	}
 	t.endpoint = u.Endpoint
@@ -234,6 +239,8 @@
 	}
 	switch u.Status {
 	case run.Started:
+	case run.Uncertain:
+		t.notBefore = now.Add(m.lapseTime())
 	case run.Done:
 		m.taskDone(now, t, out)
 	case run.Failed:
@@ -293,7 +300,11 @@
 // abandon stops the run of a task whose job is over.
 func (m *Machine) abandon(now time.Time, t *homeTask, out *Output) {
 	ref := run.Ref{Task: t.name, Number: t.number}
-	m.ghosts[t.name] = ghost{job: t.job.ID, number: t.number, holder: t.holder}
+	g := ghost{job: t.job.ID, number: t.number, holder: t.holder}
+	if !t.notBefore.IsZero() || !m.reaches(t.holder) {
+		g.until = later(t.notBefore, now.Add(m.lapseTime()))
+	}
+	m.ghosts[t.name] = g
 	if t.holder == m.cfg.Self.Ref {
 		m.unwant(now, ref, out)
 		return
@@ -312,19 +323,43 @@
 	}
 }
 
-// exorcise takes in the end of a run whose job was answered before.
-func (m *Machine) exorcise(u message.RunUpdate, out *Output) {
+// exorcise takes in what became of a run whose job was answered before.
+func (m *Machine) exorcise(now time.Time, u message.RunUpdate) {
 	g, ok := m.ghosts[u.Run.Task]
-	if !ok || g.number != u.Run.Number || !u.Status.Final() {
-		return
+	switch {
+	case !ok || g.number != u.Run.Number:
+	case u.Status.Final():
+		m.dropGhost(u.Run.Task, g)
+	case u.Status == run.Uncertain:
+		g.until = now.Add(m.lapseTime())
+		m.ghosts[u.Run.Task] = g
 	}
-	delete(m.ghosts, u.Run.Task)
+}
+
+// dropGhost forgets a run that is over. A job that waited for it may begin.
+func (m *Machine) dropGhost(name string, g ghost) {
+	delete(m.ghosts, name)
 	if j := m.parked[g.job]; j != nil && !m.haunted(g.job) {
 		delete(m.parked, g.job)
 		m.release(j)
 	}
 }
 
+// expireGhosts forgets the runs that have surely ended though nobody told.
+func (m *Machine) expireGhosts(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(m.ghosts)) {
+		if g := m.ghosts[name]; !g.until.IsZero() && !now.Before(g.until) {
+			m.dropGhost(name, g)
+		}
+	}
+}
+
+// reaches reports whether the instance is this one or a peer.
+func (m *Machine) reaches(ref instance.Ref) bool {
+	_, ok := m.peers[ref]
+	return ok || ref == m.cfg.Self.Ref
+}
+
 // haunted reports whether runs of an earlier request for the job are left.
 func (m *Machine) haunted(id string) bool {
 	for _, g := range m.ghosts {
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -122,15 +122,16 @@
 	if info.Leaving && !h.info.Leaving {
 		out.log(event.EndpointLeaving, info.ID, "the platform's list says so")
 	}
-	reborn := !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born) || info.Address != h.info.Address
-	if reborn {
+	moved := info.Address != h.info.Address
+	reborn := moved || !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born)
+	if moved || reborn && len(h.runs) == 0 {
 		m.reborn(now, h, out)
 	}
 	said := h.saidLeaving && !reborn
 	born := h.info.Born
 	h.info = info
-	if h.info.Born.Before(born) {
-		h.info.Born = born
+	if !moved {
+		h.info.Born = born // a look tells of another boot, and what it runs
 	}
 	h.info.Leaving = h.info.Leaving || said
 }
@@ -169,6 +170,7 @@
 	m.ticked = now
 	m.expireJobs(now, out)
 	m.expireOffers(now)
+	m.expireGhosts(now)
 	for _, h := range m.ordered {
 		m.tend(now, h, out)
 	}
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -121,6 +121,16 @@
 	return false
 }
 
+// mayClaim reports whether the endpoint may be taken. One of another data
+// centre is left to the instances there while most instances are out of reach:
+// it is this one, then, that is cut off.
+func (m *Machine) mayClaim(now time.Time, h *held) bool {
+	if h.info.Leaving || now.Before(h.claimAfter) || m.heldByPeer(now, h) {
+		return false
+	}
+	return h.info.DataCentre == m.cfg.Self.DataCentre || 2*(len(m.peers)+1) > m.listed
+}
+
 // assign claims the endpoints that this instance should hold and releases
 // those that another one should.
 func (m *Machine) assign(now time.Time, out *Output) {
@@ -130,7 +140,7 @@
 	for _, h := range m.ordered {
 		mine := m.owner(h) == m.cfg.Self.Ref
 		switch {
-		case !h.held() && mine && !h.info.Leaving && !now.Before(h.claimAfter) && !m.heldByPeer(now, h):
+		case !h.held() && mine && m.mayClaim(now, h):
 			m.claim(now, h, out)
 		case h.held():
 			h.releasing = !mine && m.owner(h) != (instance.Ref{})
--- a/pool/share.go
+++ b/pool/share.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -154,17 +155,20 @@
 	return o.endpoint
 }
 
+// offerNumbers returns the numbers of the open offers in their order.
+func (m *Machine) offerNumbers() []uint64 { return slices.Sorted(maps.Keys(m.offers)) }
+
 func (m *Machine) expireOffers(now time.Time) {
-	for number, o := range m.offers {
-		if !now.Before(o.until) {
+	for _, number := range m.offerNumbers() {
+		if o := m.offers[number]; !now.Before(o.until) {
 			m.withdraw(number)
 		}
 	}
 }
 
 func (m *Machine) dropOffers(ref instance.Ref) {
-	for number, o := range m.offers {
-		if o.peer == ref {
+	for _, number := range m.offerNumbers() {
+		if o := m.offers[number]; o.peer == ref {
 			m.withdraw(number)
 		}
 	}
--- a/pool/uncertain.go
+++ b/pool/uncertain.go
@@ -13,24 +13,13 @@
 	return time.Duration(float64(m.cfg.LeaseTime)/slowestClock) + lapseMargin
 }
 
-// limbo takes in that a run's fate is not known until the lease has ended. A
-// home elsewhere is told by nothing: it answers its caller when its time is
-// over, and the stop or the lease ends the run.
-func (m *Machine) limbo(now time.Time, r *heldRun) {
-	if r.home != m.cfg.Self.Ref {
-		return
-	}
-	if t := m.tasks[r.ref.Task]; t != nil && t.number == r.ref.Number {
-		t.notBefore = now.Add(m.lapseTime())
-	}
-}
-
 // holderLost takes in that the holder of some placed tasks cannot be reached.
 // It stops their runs as soon as it notices that, or they end with the lease.
 func (m *Machine) holderLost(now time.Time, holder instance.Ref, out *Output) {
 	for name, g := range m.ghosts {
 		if g.holder == holder {
-			delete(m.ghosts, name)
+			g.until = now.Add(m.lapseTime())
+			m.ghosts[name] = g
 		}
 	}
 	for _, j := range m.sortedJobs() {
--- /dev/null
+++ b/pool/world_test.go
@@ -0,0 +1,510 @@
+package pool
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/route"
+	"github.com/lovagecrank/lovagecrank/run"
+	"github.com/lovagecrank/lovagecrank/task"
+)
+
+// The figures of the platform's pages and of the links between data centres.
+const (
+	testLease    = time.Second
+	testStop     = 50 * time.Millisecond
+	testResend   = 1300 * time.Millisecond
+	testDelay    = time.Millisecond
+	testTimeout  = 250 * time.Millisecond
+	testSilence  = 800 * time.Millisecond
+	testReconect = 200 * time.Millisecond
+)
+
+type (
+	// world runs instances, endpoints and callers under a virtual clock. What
+	// it sees on its links is checked by the observer.
+	world struct {
+		t         testing.TB
+		now       time.Time
+		events    eventHeap
+		sequence  int
+		rng       *rand.Rand
+		nodes     []*node
+		endpoints []*fakeEndpoint
+		watch     *observer
+		// cut tells which nodes are cut off from each other, and dark which
+		// nodes are cut off from which endpoints.
+		cut  map[[2]int]int
+		dark map[[2]int]bool
+		// lateShare is the share of orders that are not answered and carried
+		// out late.
+		lateShare float64
+		calls     map[uint64]*attempt
+		lastCall  uint64
+		lastJob   int
+	}
+
+	node struct {
+		index   int
+		machine *Machine
+		self    instance.Info
+		alive   bool
+		frozen  bool
+		// inbox is what came while the process stood still.
+		inbox []func()
+		wake  time.Time
+		// ticks tells that a tick is scheduled.
+		ticks  int
+		linked map[int]bool
+	}
+
+	eventItem struct {
+		at       time.Time
+		sequence int
+		do       func()
+	}
+
+	eventHeap []eventItem
+
+	// attempt is one request of a caller.
+	attempt struct {
+		job     *clientJob
+		node    int
+		machine *Machine
+	}
+
+	// clientJob is a job as its caller sees it.
+	clientJob struct {
+		job      Job
+		attempts int
+		refused  int
+		answers  []*fault.Error
+		closed   bool
+	}
+)
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(eventItem)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// newWorld returns a world with that many nodes and endpoints in each of two
+// data centres.
+func newWorld(t testing.TB, seed uint64, nodes, endpoints int) *world {
+	w := &world{
+		t:     t,
+		now:   time.Unix(1_800_000_000, 0),
+		rng:   rand.New(rand.NewPCG(seed, 1)),
+		cut:   map[[2]int]int{},
+		dark:  map[[2]int]bool{},
+		calls: map[uint64]*attempt{},
+	}
+	w.watch = newObserver(w)
+	for i := range nodes {
+		w.nodes = append(w.nodes, &node{index: i, self: instance.Info{
+			Ref: instance.Ref{DataCentre: centre(i), ID: fmt.Sprintf("n%d", i)},
+		}})
+	}
+	for i := range endpoints {
+		w.endpoints = append(w.endpoints, newFakeEndpoint(w, i))
+	}
+	for i := range w.nodes {
+		w.startNode(i)
+	}
+	return w
+}
+
+func centre(i int) string { return fmt.Sprintf("dc%d", i%2) }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.sequence++
+	heap.Push(&w.events, eventItem{w.now.Add(d), w.sequence, do})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(eventItem)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// startNode starts a node anew, as another incarnation.
+func (w *world) startNode(i int) {
+	n := w.nodes[i]
+	n.alive, n.frozen, n.inbox = true, false, nil
+	n.self.Incarnation++
+	n.linked = map[int]bool{}
+	n.machine = New(w.now, Config{Self: n.self, LeaseTime: testLease, StopTime: testStop})
+	n.wake = time.Time{}
+	w.input(n, func(m *Machine, out *Output) {
+		m.SetInstances(w.now, len(w.nodes)-1, out)
+		m.SetEndpoints(w.now, w.listing(), out)
+	})
+	for _, o := range w.nodes {
+		if o != n && o.alive {
+			w.after(testReconect, func() { w.link(n, o) })
+		}
+	}
+}
+
+func (w *world) listing() []endpoint.Info {
+	var list []endpoint.Info
+	for _, e := range w.endpoints {
+		if e.up {
+			list = append(list, e.info)
+		}
+	}
+	return list
+}
+
+// link opens the stream between two nodes if they reach each other.
+func (w *world) link(a, b *node) {
+	if !a.alive || !b.alive || a.frozen || b.frozen || a.linked[b.index] || w.isCut(a.index, b.index) {
+		return
+	}
+	a.linked[b.index], b.linked[a.index] = true, true
+	w.input(a, func(m *Machine, out *Output) { m.PeerJoined(w.now, b.self, out) })
+	w.input(b, func(m *Machine, out *Output) { m.PeerJoined(w.now, a.self, out) })
+}
+
+// unlink ends the stream, as each side sees it.
+func (w *world) unlink(a, b *node) {
+	if !a.linked[b.index] {
+		return
+	}
+	delete(a.linked, b.index)
+	delete(b.linked, a.index)
+	for _, p := range [][2]*node{{a, b}, {b, a}} {
+		ref := p[1].self.Ref
+		w.input(p[0], func(m *Machine, out *Output) { m.PeerLost(w.now, ref, out) })
+	}
+}
+
+func (w *world) isCut(a, b int) bool { return w.cut[[2]int{min(a, b), max(a, b)}] > 0 }
+
+// input passes an input to a node, at once or when it wakes up.
+func (w *world) input(n *node, do func(m *Machine, out *Output)) {
+	if !n.alive {
+		return
+	}
+	machine := n.machine
+	pass := func() {
+		if !n.alive || n.machine != machine {
+			return
+		}
+		var out Output
+		do(machine, &out)
+		w.perform(n, &out)
+	}
+	if n.frozen {
+		n.inbox = append(n.inbox, pass)
+		return
+	}
+	pass()
+}
+
+var dbg func(*node, *Output)
+
+func (w *world) perform(n *node, out *Output) {
+	if dbg != nil {
+		dbg(n, out)
+	}
+	for _, a := range out.Answers {
+		w.answered(n, a)
+	}
+	for _, s := range out.Starts {
+		w.order(n, s.Order, func(e *fakeEndpoint) Reply { return e.start(s) },
+			func(r Reply, m *Machine, out *Output) { m.StartReplied(w.now, StartReply{r, s.Run}, out) })
+	}
+	for _, s := range out.Stops {
+		w.order(n, s.Order, func(e *fakeEndpoint) Reply { return e.stop(s) },
+			func(r Reply, m *Machine, out *Output) { m.StopReplied(w.now, StopReply{r, s.Run}, out) })
+	}
+	for _, l := range out.Looks {
+		w.look(n, l)
+	}
+	for _, msg := range out.Messages {
+		w.send(n, msg)
+	}
+	if !out.Wake.IsZero() {
+		w.scheduleTick(n, out.Wake)
+	}
+}
+
+func (w *world) scheduleTick(n *node, at time.Time) {
+	if !n.wake.IsZero() && !at.Before(n.wake) {
+		return
+	}
+	n.wake = at
+	n.ticks++
+	number, machine := n.ticks, n.machine
+	w.after(max(at.Sub(w.now), 0), func() {
+		if number != n.ticks || n.machine != machine || n.frozen {
+			return
+		}
+		n.wake = time.Time{}
+		w.input(n, func(m *Machine, out *Output) { m.Tick(w.now, out) })
+	})
+}
+
+// send carries a message to the other end of a stream.
+func (w *world) send(n *node, msg message.Message) {
+	for _, o := range w.nodes {
+		if o.self.Ref != msg.To || !n.linked[o.index] {
+			continue
+		}
+		w.after(testDelay, func() {
+			if !n.linked[o.index] || w.isCut(n.index, o.index) || o.self.Ref != msg.To {
+				return
+			}
+			w.input(o, func(m *Machine, out *Output) { m.Receive(w.now, msg, out) })
+		})
+	}
+}
+
+// order carries an order to its endpoint and the reply back. Some are not
+// answered and carried out seconds later.
+func (w *world) order(n *node, o Order, carryOut func(*fakeEndpoint) Reply, back func(Reply, *Machine, *Output)) {
+	sent := w.now
+	e := w.endpointAt(o)
+	reply := func(r Reply) {
+		r.Endpoint, r.Token, r.Sent = o.Endpoint.ID, o.Token, sent
+		w.input(n, func(m *Machine, out *Output) { back(r, m, out) })
+	}
+	if w.dark[[2]int{n.index, e.index}] {
+		w.after(testTimeout, func() { reply(Reply{Verdict: Unanswered}) })
+		return
+	}
+	if w.rng.Float64() < w.lateShare {
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { carryOut(e) })
+		w.after(testTimeout, func() { reply(Reply{Verdict: Unanswered}) })
+		return
+	}
+	w.after(testDelay, func() {
+		r := carryOut(e)
+		w.after(testDelay, func() {
+			if w.dark[[2]int{n.index, e.index}] {
+				w.after(testTimeout, func() { reply(Reply{Verdict: Unanswered}) })
+				return
+			}
+			reply(r)
+		})
+	})
+}
+
+func (w *world) endpointAt(o Order) *fakeEndpoint {
+	for _, e := range w.endpoints {
+		if e.info.ID == o.Endpoint.ID {
+			return e
+		}
+	}
+	w.t.Fatalf("order for unknown endpoint %s", o.Endpoint.ID)
+	return nil
+}
+
+// look carries a look, which the endpoint may answer later.
+func (w *world) look(n *node, l Look) {
+	sent := w.now
+	e := w.endpointAt(l.Order)
+	reply := func(r LookReply) {
+		r.Endpoint, r.Token, r.Sent = l.Endpoint.ID, l.Token, sent
+		w.input(n, func(m *Machine, out *Output) { m.LookReplied(w.now, r, out) })
+	}
+	lost := func() { w.after(l.Wait+testTimeout, func() { reply(LookReply{Reply: Reply{Verdict: Unanswered}}) }) }
+	if w.dark[[2]int{n.index, e.index}] {
+		lost()
+		return
+	}
+	if w.rng.Float64() < w.lateShare {
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { e.look(l, func(LookReply) {}) })
+		lost()
+		return
+	}
+	w.after(testDelay, func() {
+		e.look(l, func(r LookReply) {
+			w.after(testDelay, func() {
+				if w.dark[[2]int{n.index, e.index}] {
+					lost()
+					return
+				}
+				reply(r)
+			})
+		})
+	})
+}
+
+// submit hands a new job in at a node.
+func (w *world) submit(at int, q *route.Queue, deadline time.Duration, steps ...Step) *clientJob {
+	w.lastJob++
+	c := &clientJob{job: Job{ID: fmt.Sprintf("j%04d", w.lastJob), Queue: q, Spec: "x", Steps: steps, Deadline: w.now.Add(deadline)}}
+	w.watch.jobs[c.job.ID] = c
+	w.try(c, at)
+	return c
+}
+
+// try sends a job; after a broken connection or an unknown outcome it goes to
+// another node.
+func (w *world) try(c *clientJob, at int) {
+	n := w.nodes[at]
+	if c.closed || w.now.After(c.job.Deadline) {
+		return
+	}
+	if !n.alive {
+		w.again(c, at)
+		return
+	}
+	w.lastCall++
+	call := w.lastCall
+	c.attempts++
+	w.calls[call] = &attempt{job: c, node: at, machine: n.machine}
+	w.input(n, func(m *Machine, out *Output) { m.Submit(w.now, call, c.job, out) })
+}
+
+func (w *world) again(c *clientJob, at int) {
+	w.after(testResend, func() { w.try(c, (at+1)%len(w.nodes)) })
+}
+
+func (w *world) answered(n *node, a Answer) {
+	t := w.calls[a.Call]
+	if t == nil || t.machine != n.machine {
+		w.t.Errorf("%s answers call %d, which is not open", n.self.ID, a.Call)
+		return
+	}
+	delete(w.calls, a.Call)
+	w.watch.answered(t.job, a.Fault)
+	if a.Fault != nil && !a.Fault.Kind.Row().NotRun && a.Fault.Kind != fault.TaskFailed {
+		w.again(t.job, t.node)
+	}
+}
+
+// openCalls returns the numbers of the open requests in their order.
+func (w *world) openCalls() []uint64 { return slices.Sorted(maps.Keys(w.calls)) }
+
+// leave ends a caller's connections.
+func (w *world) leave(c *clientJob) {
+	c.closed = true
+	for _, call := range w.openCalls() {
+		t := w.calls[call]
+		if t.job == c {
+			n := w.nodes[t.node]
+			if n.machine == t.machine {
+				w.input(n, func(m *Machine, out *Output) { m.CallerLeft(w.now, call, out) })
+			}
+		}
+	}
+}
+
+// kill ends a node's process. With power its peers see nothing of that until
+// they miss it.
+func (w *world) kill(i int, power bool) {
+	n := w.nodes[i]
+	n.alive = false
+	for _, call := range w.openCalls() {
+		t := w.calls[call]
+		if t.machine == n.machine {
+			delete(w.calls, call)
+			w.again(t.job, t.node)
+		}
+	}
+	for _, o := range w.nodes {
+		if !n.linked[o.index] {
+			continue
+		}
+		delay := time.Duration(0)
+		if power {
+			delay = testSilence
+		}
+		ref := n.self.Ref
+		delete(o.linked, n.index)
+		w.after(delay, func() { w.input(o, func(m *Machine, out *Output) { m.PeerLost(w.now, ref, out) }) })
+	}
+}
+
+// freeze makes a node stand still for a while.
+func (w *world) freeze(i int, d time.Duration) {
+	n := w.nodes[i]
+	if !n.alive || n.frozen {
+		return
+	}
+	n.frozen = true
+	machine := n.machine
+	for _, o := range w.nodes {
+		if n.linked[o.index] {
+			w.after(testSilence, func() {
+				if n.frozen && n.machine == machine {
+					w.unlink(n, o)
+				}
+			})
+		}
+	}
+	w.after(d, func() {
+		if n.machine != machine || !n.alive {
+			return
+		}
+		n.frozen = false
+		inbox := n.inbox
+		n.inbox = nil
+		n.wake = time.Time{}
+		w.input(n, func(m *Machine, out *Output) { m.Tick(w.now, out) })
+		for _, pass := range inbox {
+			pass()
+		}
+		for _, o := range w.nodes {
+			w.after(testReconect, func() { w.link(n, o) })
+		}
+	})
+}
+
+// cutNodes cuts two nodes off from each other for a while.
+func (w *world) cutNodes(a, b int, d time.Duration) {
+	k := [2]int{min(a, b), max(a, b)}
+	w.cut[k]++
+	w.after(testSilence, func() { w.unlink(w.nodes[a], w.nodes[b]) })
+	w.after(d, func() {
+		w.cut[k]--
+		w.after(testReconect, func() { w.link(w.nodes[a], w.nodes[b]) })
+	})
+}
+
+// cutEndpoint cuts an endpoint off from a node for a while.
+func (w *world) cutEndpoint(n, e int, d time.Duration) {
+	k := [2]int{n, e}
+	w.dark[k] = true
+	w.after(d, func() { delete(w.dark, k) })
+}
+
+var address = netip.MustParseAddrPort("10.0.0.1:1")
+
+func needs(cores float64) task.Needs { return task.Needs{Cores: cores, MemoryBytes: 1 << 20} }
+
+func statusOf(ok bool) run.Status {
+	if ok {
+		return run.Done
+	}
+	return run.Failed
+}
--- a/run/run.go
+++ b/run/run.go
@@ -15,6 +15,9 @@
 	// Lapsed means that the run ended with the endpoint's lease, or with the
 	// endpoint.
 	Lapsed
+	// Uncertain means that the holder has lost the endpoint: the run ends
+	// with the lease, or is stopped by the next holder, and nobody tells.
+	Uncertain
 	statuses
 )
 
@@ -31,7 +34,7 @@
 	Status uint8
 )
 
-var names = [statuses]string{"started", "not_run", "done", "failed", "stopped", "lapsed"}
+var names = [statuses]string{"started", "not_run", "done", "failed", "stopped", "lapsed", "uncertain"}
 
 // String returns the status in snake case.
 func (s Status) String() string {
@@ -45,4 +48,4 @@
 func (s Status) Valid() bool { return s < statuses }
 
 // Final reports whether the run has ended or never began.
-func (s Status) Final() bool { return s != Started }
+func (s Status) Final() bool { return s != Started && s != Uncertain }
