--- a/pool/observer_test.go
+++ b/pool/observer_test.go
@@ -22,7 +22,6 @@
 	// begunOf counts the starts of each job.
 	begunOf map[string]int
 	starts  int
-	again   int
 	ends    map[run.Status]int
 }
 
