Take resets for resets, look twice, refuse by the tail of the wait, answer all in a stop

(b) seconds 2 to 6: a start or look without answer held its place for its whole time limit (99 of 274 late). Ruled out: for (b) more pauses of endpoints, which lost capacity. Change: a peer has 250 ms to come back and both sides then compare their runs; starts are given up after 30 ms and looks repeated beside the one that waits; admission counts more urgent arrivals and the tail of the wait, and jobs that have missed their goal wait behind those that can meet it; a stopping instance refuses what it can't end and answers the rest before it exits.

--- a/message/pool.go
+++ b/message/pool.go
@@ -68,6 +68,13 @@
 		Run run.Ref
 	}
 
+	// Runs are all that the sender, as their home, waits for at the
+	// receiver. It is sent on a new stream, as messages may be lost with the
+	// one before.
+	Runs struct {
+		Runs []run.Ref
+	}
+
 	// RunUpdate tells the home how far its run has come.
 	RunUpdate struct {
 		Run    run.Ref
@@ -104,6 +111,7 @@
 func (Standing) body()      {}
 func (StartRun) body()      {}
 func (StopRun) body()       {}
+func (Runs) body()          {}
 func (RunUpdate) body()     {}
 func (Offer) body()         {}
 func (Decline) body()       {}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -69,6 +69,7 @@
 			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: needs, Estimate: time.Second,
 			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7,
 		},
+		message.Runs{Runs: []run.Ref{{Task: "t", Number: 2}}},
 		message.StopRun{Run: run.Ref{Task: "t", Number: 2}},
 		message.RunUpdate{Run: run.Ref{Task: "t", Number: 2}, Status: run.Done, Endpoint: "w", Free: 3},
 		message.Offer{Number: 7, Service: "s", Needs: needs},
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -19,6 +19,8 @@
 	case *wire.Message_StopRun:
 		r, err := decodeRun(b.StopRun.GetRun())
 		return message.StopRun{Run: r}, err
+	case *wire.Message_Runs:
+		return decodeRuns(b.Runs)
 	case *wire.Message_RunUpdate:
 		return decodeRunUpdate(b.RunUpdate)
 	case *wire.Message_Offer:
@@ -42,6 +44,18 @@
 	return r, checkName(r.Task)
 }
 
+func decodeRuns(w *wire.Runs) (message.Body, error) {
+	b := message.Runs{}
+	for _, item := range w.GetRuns() {
+		r, err := decodeRun(item)
+		if err != nil {
+			return nil, err
+		}
+		b.Runs = append(b.Runs, r)
+	}
+	return b, nil
+}
+
 func decodeRunUpdate(w *wire.RunUpdate) (message.Body, error) {
 	r, err := decodeRun(w.GetRun())
 	if err != nil {
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -18,6 +18,12 @@
 		w.Body = &wire.Message_StartRun{StartRun: encodeStartRun(b)}
 	case message.StopRun:
 		w.Body = &wire.Message_StopRun{StopRun: &wire.StopRun{Run: encodeRun(b.Run)}}
+	case message.Runs:
+		runs := make([]*wire.Run, 0, len(b.Runs))
+		for _, r := range b.Runs {
+			runs = append(runs, encodeRun(r))
+		}
+		w.Body = &wire.Message_Runs{Runs: &wire.Runs{Runs: runs}}
 	case message.RunUpdate:
 		w.Body = &wire.Message_RunUpdate{RunUpdate: &wire.RunUpdate{
 			Run: encodeRun(b.Run), Status: uint32(b.Status), Endpoint: b.Endpoint, Free: int32(b.Free),
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -15,6 +15,18 @@
 	// retrySpread is over how much more the callers are spread that are
 	// refused together.
 	retrySpread = time.Second
+	// tailFactor is by how much a wait may exceed the expected one: a job is
+	// in time only if the last of its tasks is.
+	tailFactor = 2.5
+	// leastLeft is the part of all places that counts as left by more urgent
+	// jobs in any case, so that a short peak of theirs refuses nobody.
+	leastLeft = 0.1
+	// stopFactor is how many times its work a job must have until the process
+	// ends to be taken in: estimates may be off by a half.
+	stopFactor = 2
+	// startTime is how long after its start an instance takes jobs in before
+	// endpoints have holders: a read of the lists and a claim.
+	startTime = time.Second
 	// freshTime is how old a peer's word on what waits there may be to count.
 	freshTime = time.Second
 )
@@ -22,14 +34,30 @@
 // admit returns why a job is refused as not run, or nil.
 func (m *Machine) admit(now time.Time, j *homeJob) *fault.Error {
 	m.learnNeeds(j.Job)
+	f := m.refusal(now, j)
+	if f == nil {
+		m.arrivals.add(now, j.Queue.Service, j.Queue.Priority, workOf(j.Job))
+	}
+	return f
+}
+
+// refusal returns why a job that has not begun can't be served in time, or
+// nil.
+func (m *Machine) refusal(now time.Time, j *homeJob) *fault.Error {
 	if !m.everFits(j.Job) {
 		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service)
 	}
+	if m.leaving && now.Add(stopFactor*longestChain(j.Steps)+answerMargin).After(m.endsAt) {
+		return fault.New(fault.Stopping, "the process ends in %s", m.endsAt.Sub(now)).WithRetryAfter(m.retryAfter(j))
+	}
 	l := m.load(now, j)
-	if l.places == 0 {
+	if l.places == 0 && now.Sub(m.begun) >= startTime {
 		return fault.New(fault.EndpointsUnavailable, "no endpoint of service %s takes work", j.Queue.Service).WithRetryAfter(m.retryAfter(j))
 	}
 	wait := l.wait(j.undone)
+	if now.Sub(m.begun) < startTime {
+		wait = 0 // the places are being claimed
+	}
 	end := now.Add(wait).Add(longestChain(j.Steps))
 	switch {
 	case end.After(j.Deadline):
@@ -60,17 +88,19 @@
 	return !known
 }
 
-// load is what a new job finds ahead of it.
+// load is what a job finds ahead of it.
 type load struct {
 	// places and free are those of all instances that can be reached.
 	places, free int
 	// tasks wait ahead of the job, of that much work.
 	tasks int
 	work  time.Duration
+	// urgent is how many places the more urgent jobs that come keep busy.
+	urgent float64
 }
 
-// load returns what goes before a new job: waiting tasks of its priority or a
-// more urgent one, here and at the peers.
+// load returns what goes before a job: waiting tasks of its priority or a more
+// urgent one, here and at the peers, and the more urgent ones that will come.
 func (m *Machine) load(now time.Time, j *homeJob) load {
 	service := j.Queue.Service
 	var l load
@@ -96,10 +126,18 @@
 		}
 		l.addWaits(r.Waits, j.Queue.Priority)
 	}
+	l.work += workOf(j.Job)
+	l.urgent = m.arrivals.before(now, service, j.Queue.Priority) * float64(len(m.peers)+1)
+	return l
+}
+
+// workOf returns the expected run time of all tasks together.
+func workOf(j Job) time.Duration {
+	work := time.Duration(0)
 	for _, s := range j.Steps {
-		l.work += time.Duration(s.Tasks) * s.Estimate
+		work += time.Duration(s.Tasks) * s.Estimate
 	}
-	return l
+	return work
 }
 
 func (l *load) addWaits(waits []message.Wait, priority int) {
@@ -112,7 +150,7 @@
 }
 
 // wait returns when the last of the job's tasks is expected to start: the work
-// ahead of the free places, spread over all places.
+// ahead of the free places, spread over the places that more urgent jobs leave.
 func (l load) wait(tasks int) time.Duration {
 	all := l.tasks + tasks
 	excess := all - l.free
@@ -120,7 +158,8 @@
 		return 0
 	}
 	mean := l.work / time.Duration(all)
-	return time.Duration(excess) * mean / time.Duration(l.places)
+	left := max(float64(l.places)-l.urgent, leastLeft*float64(l.places))
+	return time.Duration(tailFactor * float64(excess) * float64(mean) / left)
 }
 
 // retryAfter returns when a refused caller should come back. It is spread by
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -56,6 +56,15 @@
 			}
 		}
 	}},
+	{"streams are reset", func(w *world) {
+		a := w.nodes[w.rng.IntN(len(w.nodes))]
+		for _, b := range w.nodes {
+			if a != b {
+				w.unlink(a, b)
+				w.after(time.Duration(w.rng.Int64N(int64(400*time.Millisecond))), func() { w.link(a, b) })
+			}
+		}
+	}},
 	{"an endpoint is cut off from its holder", func(w *world) {
 		e := w.rng.IntN(len(w.endpoints))
 		for n := range w.nodes {
@@ -69,7 +78,7 @@
 			return
 		}
 		machine := n.machine
-		w.input(n, func(m *Machine, out *Output) { m.BeginStop(w.now, out) })
+		w.input(n, func(m *Machine, out *Output) { m.BeginStop(w.now, w.now.Add(5*time.Second), out) })
 		w.after(5*time.Second, func() {
 			if n.machine == machine && n.alive {
 				w.kill(i, false)
@@ -206,6 +215,46 @@
 	}
 }
 
+// A stream that is reset and opened again ends no run.
+func TestResetStreams(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 1, 4, 12)
+	c := w.submit(0, &longQueue, 4*time.Second, step(20, 500*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	for i := range 3 {
+		a, b := w.nodes[0], w.nodes[i+1]
+		w.unlink(a, b)
+		w.after(100*time.Millisecond, func() { w.link(a, b) })
+	}
+	w.run(600 * time.Millisecond)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+	is.Equal(w.watch.ends[run.Done], 20)
+	is.Equal(w.watch.starts, 20)
+}
+
+// A planned stop answers every job before the process ends: what can't be run
+// until then is refused, and nothing is cut off.
+func TestPlannedStopAnswersAll(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 1, 4, 12)
+	end := w.now.Add(5 * time.Second)
+	w.input(w.nodes[0], func(m *Machine, out *Output) { m.BeginStop(w.now, end, out) })
+	var jobs []*clientJob
+	for range 50 {
+		w.run(100 * time.Millisecond)
+		jobs = append(jobs, w.submit(0, &longQueue, 4*time.Second, step(2, 900*time.Millisecond)))
+	}
+	served := 0
+	for _, c := range jobs {
+		is.Equal(len(c.answers), 1)
+		if c.answers[0] == nil {
+			served++
+		}
+	}
+	is.True(served > 25) // those of the first half at least
+}
+
 // A holder that is lost costs its tasks the time of a lease at most.
 func TestHolderLost(t *testing.T) {
 	is := is.New(t)
--- a/pool/health.go
+++ b/pool/health.go
@@ -17,6 +17,9 @@
 	// failuresInRow is how many runs in a row must fail for the endpoint to
 	// be at fault rather than the tasks.
 	failuresInRow = 3
+	// silencesInRow is how many starts in a row must go unanswered for the
+	// endpoint to be at fault.
+	silencesInRow = 3
 	// paceWeight is the weight of a new run time in the learnt pace.
 	paceWeight = 0.1
 	// standsFactor is by how many times a run must exceed its estimate, which
@@ -36,6 +39,8 @@
 		// failures counts the runs that failed since the last one that was
 		// done.
 		failures int
+		// silences counts the starts in a row that were not answered.
+		silences int
 		// pace is the usual run time over the estimate; zero if not known.
 		pace float64
 	}
@@ -87,9 +92,17 @@
 	h.pausedUntil = later(h.pausedUntil, now.Add(fullPause))
 }
 
-// unanswered notes that a start was not answered, which happens to a sound
-// endpoint too.
-func (h *health) unanswered(now time.Time) { h.suspend(now) }
+// unanswered notes that a start was not answered. Now and then that happens to
+// a sound endpoint too.
+func (h *health) unanswered(now time.Time) {
+	h.silences++
+	if h.silences >= silencesInRow {
+		h.suspend(now)
+	}
+}
+
+// heard notes that the endpoint began a run.
+func (h *health) heard() { h.silences = 0 }
 
 // ended notes how a run ended.
 func (h *health) ended(now time.Time, status run.Status, ran, estimate time.Duration) {
--- a/pool/held.go
+++ b/pool/held.go
@@ -16,8 +16,22 @@
 
 const (
 	// lookWait is how long an endpoint may wait for an end before it answers
-	// a look, so that a lease of a second is renewed at least three times.
-	lookWait = 280 * time.Millisecond
+	// a look: a lease of a second is renewed several times, and a look that
+	// is lost is noticed before the next task of the shortest kind is late.
+	lookWait = 200 * time.Millisecond
+	// startPatience is how long a start may go unanswered before the run is
+	// stopped, to start elsewhere: many times the way there and back, and
+	// less than the slack of the shortest jobs.
+	startPatience = 30 * time.Millisecond
+	// overdueFactor is by how many times a run must exceed its estimate, which
+	// may be off by a half, for a second look beside the one that waits.
+	overdueFactor = 1.5
+	// overdueFloor is the least time before that, and between the first two
+	// such looks; the time between them doubles.
+	overdueFloor = 20 * time.Millisecond
+	// lagging is how late a tick must be for the own process to be what is
+	// slow, not an endpoint.
+	lagging = 20 * time.Millisecond
 	// silence is how long an endpoint may answer nothing before its lease is
 	// left to end: a look and one more try.
 	silence = 600 * time.Millisecond
@@ -29,7 +43,7 @@
 	// lapseMargin is added to the end of a lease before it counts as over.
 	lapseMargin = 30 * time.Millisecond
 	// stopAgain is when an unanswered stop is sent again.
-	stopAgain = 150 * time.Millisecond
+	stopAgain = 30 * time.Millisecond
 	// stopMargin is how long after its time a stop counts as carried out.
 	stopMargin = 30 * time.Millisecond
 	// noteAfter is how long the note of an end waits for the next look where
@@ -67,13 +81,14 @@
 		clock clock
 		// granted is the latest end of a lease that was asked for.
 		granted time.Duration
-		// seen is the number of the last end that was taken note of, told
-		// the one that the endpoint knows of, and telling the one in the look
-		// under way. noteBy is when the endpoint should know of seen.
-		seen, told, telling int64
-		noteBy              time.Time
-		looking             bool
-		lookAgain           time.Time
+		// seen is the number of the last end that was taken note of, and told
+		// the one that the endpoint knows of, which it should by noteBy.
+		seen, told int64
+		noteBy     time.Time
+		// looking tells that a look is under way, and peeking that a second
+		// one is.
+		looking, peeking bool
+		lookAgain        time.Time
 		// asked is when the first of the orders was sent that the endpoint
 		// has not answered yet, if there are any.
 		asked time.Time
@@ -97,6 +112,10 @@
 		// stopping is when a stop was first asked for, stopSent when it was
 		// last sent, and stopped when the endpoint accepted it.
 		stopping, stopSent, stopped time.Time
+		// peekAt is when a second look is due because the run is overdue, and
+		// peekGap what lay between the last two of them.
+		peekAt  time.Time
+		peekGap time.Duration
 		// unwanted tells that the home does not wait for the run any more.
 		unwanted bool
 		progress progress
@@ -122,7 +141,7 @@
 // drop forgets all that only the holder knows.
 func (h *held) drop() {
 	h.token, h.open, h.releasing = 0, false, false
-	h.seen, h.told, h.telling, h.granted = 0, 0, 0, 0
+	h.seen, h.told, h.granted = 0, 0, 0
 	h.used, h.reserved = task.Needs{}, 0
 	clear(h.runs)
 }
@@ -183,13 +202,28 @@
 	if h.open && len(h.runs) > 0 {
 		l.Wait = lookWait
 	}
+	m.sendLook(now, h, l, out)
+}
+
+// peek asks at once what runs, beside a look that waits.
+func (m *Machine) peek(now time.Time, h *held, out *Output) {
+	if h.peeking {
+		return
+	}
+	m.sendLook(now, h, Look{Order: h.order(), Seen: h.seen, Peek: true}, out)
+}
+
+func (m *Machine) sendLook(now time.Time, h *held, l Look, out *Output) {
 	if h.open && h.clock.known() && m.renews(now, h) {
 		l.Until = h.clock.latest(now) + m.cfg.LeaseTime
 		h.granted = max(h.granted, l.Until)
 	}
 	h.ask(now)
-	h.looking = true
-	h.telling = h.seen
+	if l.Peek {
+		h.peeking = true
+	} else {
+		h.looking = true
+	}
 	out.Looks = append(out.Looks, l)
 }
 
@@ -213,7 +247,11 @@
 	if !ok {
 		return
 	}
-	h.looking = false
+	if reply.Peek {
+		h.peeking = false
+	} else {
+		h.looking = false
+	}
 	if reply.Token != h.token {
 		m.settle(now, out)
 		return
@@ -233,7 +271,7 @@
 		h.countAnew(now, m.cfg.LeaseTime)
 	}
 	h.info.Born = reply.Born
-	h.told = h.telling
+	h.told = max(h.told, min(reply.Seen, h.seen))
 	if reply.Leaving && !h.info.Leaving {
 		h.info.Leaving, h.saidLeaving = true, true
 		out.log(event.EndpointLeaving, h.info.ID, "the endpoint says so")
@@ -252,7 +290,7 @@
 // its clock start anew. What ran before is missing in its list; orders that
 // came after the start are in it.
 func (h *held) countAnew(now time.Time, lease time.Duration) {
-	h.seen, h.told, h.telling = 0, 0, 0
+	h.seen, h.told = 0, 0
 	h.granted = h.clock.latest(now) + lease
 }
 
@@ -288,12 +326,24 @@
 		switch {
 		case runs:
 			r.progress.observe(now, percent)
+		case !r.stopped.IsZero() && r.stopped.Before(reply.Sent):
+			// It is neither running nor among the ends.
+			m.finish(now, h, r.ref, r.stoppedAs(), out)
 		case !r.began.IsZero() && r.began.Before(reply.Sent):
 			m.finish(now, h, r.ref, run.Lapsed, out)
 		}
 	}
 }
 
+// stoppedAs returns how a run ended that was stopped and is not listed: one
+// that had begun would be.
+func (r *heldRun) stoppedAs() run.Status {
+	if r.began.IsZero() {
+		return run.NotRun
+	}
+	return run.Stopped
+}
+
 // sorted returns the runs in the order of their tasks' names.
 func (h *held) sorted() []*heldRun {
 	list := make([]*heldRun, 0, len(h.runs))
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -77,9 +77,11 @@
 		waiting             []*homeTask
 		undone              int
 		// ran tells that a run may have begun.
-		ran    bool
-		queued bool
-		ended  bool
+		ran bool
+		// deferred tells that it can't meet its goal any more.
+		deferred bool
+		queued   bool
+		ended    bool
 	}
 
 	// homeTask is a task of a job.
@@ -138,6 +140,9 @@
 	h.goal = now.Add(goal)
 	h.startBy = h.goal.Add(-chain)
 	h.late = now.Add(lateFactor * goal)
+	if m.leaving {
+		h.Deadline = earlier(h.Deadline, m.endsAt)
+	}
 	for i, s := range j.Steps {
 		tasks := make([]*homeTask, s.Tasks)
 		for k := range tasks {
@@ -384,6 +389,24 @@
 	}
 }
 
+// deferJobs lets the jobs go first that can still meet their goal: one that has
+// missed its goal without a start waits behind them, or is refused if it would
+// come too late to be of use.
+func (m *Machine) deferJobs(now time.Time, out *Output) {
+	for _, j := range slices.Clone(m.queue) {
+		if j.deferred || !now.After(j.startBy) || j.maybeRan() {
+			continue
+		}
+		m.dequeue(j)
+		j.deferred = true
+		j.startBy = j.late.Add(-longestChain(j.Steps))
+		m.enqueue(j)
+		if f := m.refusal(now, j); f != nil {
+			m.end(now, j, f, out)
+		}
+	}
+}
+
 // expired returns the answer to a job whose time is over.
 func (m *Machine) expired(now time.Time, j *homeJob) *fault.Error {
 	if j.maybeRan() {
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -40,8 +40,13 @@
 		// begun is when the instance started, and ticked when the last input
 		// came.
 		begun, ticked time.Time
-		version       uint64
-		leaving       bool
+		// lags tells that the last tick came late.
+		lags    bool
+		version uint64
+		// leaving tells that the planned stop has begun, and endsAt when the
+		// process ends then.
+		leaving bool
+		endsAt  time.Time
 
 		// endpoints are those that the platform lists, by ID; ordered has
 		// them in the order of their IDs.
@@ -49,6 +54,10 @@
 		ordered   []*held
 
 		peers map[instance.Ref]*peer
+		// lost are the peers whose stream has just ended.
+		lost map[instance.Ref]*peer
+		// told are the ends that peers were told lately, by home.
+		told map[instance.Ref][]toldEnd
 		// nearPeers are the peers, those of the own data centre first.
 		nearPeers []*peer
 		// listed is how many peers the platform lists.
@@ -67,6 +76,7 @@
 
 		offers    map[uint64]*offer
 		lastOffer uint64
+		arrivals  arrivals
 		// usual is what a task of each service usually needs.
 		usual map[string]task.Needs
 
@@ -82,6 +92,8 @@
 		ticked:    now,
 		endpoints: map[string]*held{},
 		peers:     map[instance.Ref]*peer{},
+		lost:      map[instance.Ref]*peer{},
+		told:      map[instance.Ref][]toldEnd{},
 		jobs:      map[string]*homeJob{},
 		calls:     map[uint64]*homeJob{},
 		tasks:     map[string]*homeTask{},
@@ -154,10 +166,14 @@
 	m.settle(now, out)
 }
 
-// BeginStop makes the machine hand its endpoints over and take no new jobs.
-// What it has goes on.
-func (m *Machine) BeginStop(now time.Time, out *Output) {
+// BeginStop makes the machine hand its endpoints over. What it has goes on, and
+// new jobs are taken as long as they can be answered before the process ends.
+func (m *Machine) BeginStop(now, end time.Time, out *Output) {
 	m.leaving = true
+	m.endsAt = end
+	for _, j := range m.jobs {
+		j.Deadline = earlier(j.Deadline, end)
+	}
 	m.standing.urgent = true
 	m.settle(now, out)
 }
@@ -167,8 +183,11 @@
 	if now.Sub(m.ticked) > frozenTime {
 		m.Thaw(now, out)
 	}
+	m.lags = now.Sub(m.ticked) > tickPeriod+lagging
 	m.ticked = now
+	m.expirePeers(now, out)
 	m.expireJobs(now, out)
+	m.deferJobs(now, out)
 	m.expireOffers(now)
 	m.expireGhosts(now)
 	for _, h := range m.ordered {
--- a/pool/observer_test.go
+++ b/pool/observer_test.go
@@ -44,7 +44,11 @@
 	parts := strings.Split(name, ".")
 	step, _ := strconv.Atoi(parts[2])
 	j := o.jobs[parts[0]].job
-	return j.Steps[step].Needs, j.Steps[step].Estimate, j.Spec != "fails"
+	takes := j.Steps[step].Estimate
+	if c := o.jobs[parts[0]]; c.tally != nil {
+		takes = c.run // the estimate is off
+	}
+	return j.Steps[step].Needs, takes, j.Spec != "fails"
 }
 
 func (o *observer) began(e *fakeEndpoint, s Start) {
@@ -85,9 +89,27 @@
 	}
 }
 
+// count takes the first answer to a job into its tally.
+func (o *observer) count(c *clientJob, f *fault.Error) {
+	if c.tally == nil || len(c.answers) > 1 {
+		return
+	}
+	switch {
+	case f == nil && !o.w.now.After(c.goal):
+		c.tally.inGoal++
+	case f == nil:
+		c.tally.late++
+	case f.Kind.Row().NotRun:
+		c.tally.refused++
+	default:
+		c.tally.failed++
+	}
+}
+
 // answered checks an answer to a caller.
 func (o *observer) answered(c *clientJob, f *fault.Error) {
 	c.answers = append(c.answers, f)
+	o.count(c, f)
 	switch {
 	case f == nil:
 		for i, s := range c.job.Steps {
--- a/pool/output.go
+++ b/pool/output.go
@@ -70,6 +70,8 @@
 		Until time.Duration
 		// Wait is how long the endpoint may wait for an end.
 		Wait time.Duration
+		// Peek tells that the look goes beside one that waits.
+		Peek bool
 	}
 
 	// Reply is what came back of an order.
@@ -98,6 +100,9 @@
 	// LookReply answers a Look.
 	LookReply struct {
 		Reply
+		// Seen and Peek are those of the Look.
+		Seen int64
+		Peek bool
 		// Born is when the endpoint started; zero if it was not told.
 		Born    time.Time
 		Running []Running
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,9 +13,15 @@
 	"github.com/lovagecrank/lovagecrank/message"
 )
 
-// introduceTime is how long a peer that has joined may take to tell what it
-// holds: one message.
-const introduceTime = 300 * time.Millisecond
+const (
+	// introduceTime is how long a peer that has joined may take to tell what
+	// it holds: one message.
+	introduceTime = 300 * time.Millisecond
+	// returnTime is how long a peer whose stream has ended may take to open
+	// another one. With the time after which a silent stream ends, and that
+	// of a stop, it lies under the 1.3 s after which a caller asks elsewhere.
+	returnTime = 250 * time.Millisecond
+)
 
 type (
 	// peer is another instance with which a stream is open.
@@ -26,6 +33,11 @@
 		introduced bool
 		toldAt     time.Time
 		holds      map[string]bool
+		// lostAt is when its stream ended; zero while it is open.
+		lostAt time.Time
+		// known tells that it came back in time: all that became of its runs
+		// is remembered.
+		known bool
 	}
 )
 
@@ -37,15 +49,35 @@
 
 // PeerJoined takes in that a stream with a peer is open.
 func (m *Machine) PeerJoined(now time.Time, info instance.Info, out *Output) {
-	p := &peer{info: info, joined: now}
+	p := m.lost[info.Ref]
+	delete(m.lost, info.Ref)
+	if p == nil {
+		p = &peer{info: info, joined: now}
+		m.replace(now, info.Ref, out)
+	} else {
+		p.known = true
+		m.doubtGhosts(now, info.Ref)
+	}
+	p.lostAt = time.Time{}
 	m.peers[info.Ref] = p
 	m.nearPeers = append(m.nearPeers, p)
 	slices.SortFunc(m.nearPeers, m.compareNearness)
 	m.standing.newcomers = append(m.standing.newcomers, info.Ref)
+	m.reconcile(info.Ref, out)
 	out.log(event.PeerJoined, info.ID, info.Address.String())
 	m.settle(now, out)
 }
 
+// replace takes in that an instance has started anew: its incarnations before
+// are gone.
+func (m *Machine) replace(now time.Time, ref instance.Ref, out *Output) {
+	for _, old := range m.lostRefs() {
+		if old.ID == ref.ID {
+			m.forgetPeer(now, old, out)
+		}
+	}
+}
+
 func (m *Machine) compareNearness(a, b *peer) int {
 	near := func(p *peer) int {
 		if p.info.DataCentre == m.cfg.Self.DataCentre {
@@ -56,9 +88,8 @@
 	return cmp.Or(near(a)-near(b), cmp.Compare(a.info.ID, b.info.ID), cmp.Compare(a.info.Incarnation, b.info.Incarnation))
 }
 
-// PeerLost takes in that the stream with a peer has ended. The runs that it is
-// home to are stopped, since its callers may ask elsewhere; what becomes of the
-// own tasks there is known once its leases must have ended.
+// PeerLost takes in that the stream with a peer has ended. Where it does not
+// come back at once, the peer counts as gone.
 func (m *Machine) PeerLost(now time.Time, ref instance.Ref, out *Output) {
 	p, ok := m.peers[ref]
 	if !ok {
@@ -66,13 +97,40 @@
 	}
 	delete(m.peers, ref)
 	m.nearPeers = slices.DeleteFunc(m.nearPeers, func(o *peer) bool { return o == p })
+	p.lostAt = now
+	m.lost[ref] = p
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
+	m.dropOffers(ref)
+	out.wakeAt(now.Add(returnTime + time.Millisecond))
+	m.settle(now, out)
+}
+
+// lostRefs returns the peers whose stream has just ended, in an order that
+// does not change.
+func (m *Machine) lostRefs() []instance.Ref {
+	return slices.SortedFunc(maps.Keys(m.lost), func(a, b instance.Ref) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
+
+// expirePeers forgets the peers that did not come back.
+func (m *Machine) expirePeers(now time.Time, out *Output) {
+	for _, ref := range m.lostRefs() {
+		if now.Sub(m.lost[ref].lostAt) >= returnTime {
+			m.forgetPeer(now, ref, out)
+		}
+	}
+}
+
+// forgetPeer takes in that a peer is gone. The runs that it is home to are
+// stopped, since its callers may ask elsewhere; what becomes of the own tasks
+// there is known once its leases must have ended.
+func (m *Machine) forgetPeer(now time.Time, ref instance.Ref, out *Output) {
+	delete(m.lost, ref)
 	for _, h := range m.ordered {
 		m.stopRunsOf(now, h, ref, out)
 	}
-	m.dropOffers(ref)
 	m.holderLost(now, ref, out)
-	m.settle(now, out)
 }
 
 // gathered reports whether the peers that are listed have joined, or had time
@@ -104,12 +162,22 @@
 			consider(p.info.Ref)
 		}
 	}
+	for _, p := range m.lost {
+		if p.introduced && !p.told.Leaving {
+			consider(p.info.Ref)
+		}
+	}
 	return best
 }
 
 // heldByPeer reports whether a peer says that it holds the endpoint, or may be
 // about to say so.
 func (m *Machine) heldByPeer(now time.Time, h *held) bool {
+	for _, p := range m.lost {
+		if p.holds[h.info.ID] {
+			return true
+		}
+	}
 	for _, p := range m.nearPeers {
 		if p.holds[h.info.ID] {
 			return true
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -24,6 +24,8 @@
 		m.startFor(now, p, b, out)
 	case message.StopRun:
 		m.unwant(now, b.Run, out)
+	case message.Runs:
+		m.compareRuns(now, p, b, out)
 	case message.RunUpdate:
 		m.learnFree(p, b)
 		m.updated(now, b, out)
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -19,6 +19,7 @@
 	until := h.clock.latest(now) + time.Duration(startLease*float64(m.cfg.LeaseTime))
 	h.granted = max(h.granted, until)
 	out.Starts = append(out.Starts, Start{Order: h.order(), Run: s.Run, Spec: s.Spec, Until: until})
+	out.wakeAt(now.Add(startPatience + time.Millisecond))
 	m.look(now, h, out)
 }
 
@@ -39,12 +40,12 @@
 	case Accepted:
 		m.hear(now, h, reply.Reply)
 		r.began = now
+		r.expect(now, h.health.pace)
+		h.health.heard()
 		m.report(now, h, r, run.Started, out)
 		return
 	case Unanswered:
-		out.log(event.StartUnanswered, r.ref.Task, "endpoint "+h.info.ID+" may have begun it; it is stopped there")
-		h.health.unanswered(now)
-		m.stop(now, h, r, out)
+		m.startUnanswered(now, h, r, out)
 		return
 	case Fenced, Reborn, Gone:
 		// These prove that the start had no effect.
@@ -61,6 +62,17 @@
 	m.finish(now, h, r.ref, run.NotRun, out)
 }
 
+// startUnanswered stops a run whose start may have been carried out, now or
+// later, so that its task can start elsewhere.
+func (m *Machine) startUnanswered(now time.Time, h *held, r *heldRun, out *Output) {
+	if !r.stopping.IsZero() {
+		return
+	}
+	out.log(event.StartUnanswered, r.ref.Task, "endpoint "+h.info.ID+" may have begun it; it is stopped there")
+	h.health.unanswered(now)
+	m.stop(now, h, r, out)
+}
+
 // stop orders the end of a run.
 func (m *Machine) stop(now time.Time, h *held, r *heldRun, out *Output) {
 	if r.stopping.IsZero() {
@@ -83,8 +95,9 @@
 		m.orderFailed(now, h, reply.Reply, out)
 	default:
 		m.hear(now, h, reply.Reply)
-		if r != nil {
+		if r != nil && r.stopped.IsZero() {
 			r.stopped = now
+			m.peek(now, h, out)
 		}
 	}
 	m.settle(now, out)
@@ -99,18 +112,43 @@
 			m.finish(now, h, r.ref, run.Stopped, out)
 			return
 		}
+		m.peek(now, h, out)
 		out.wakeAt(r.stopped.Add(m.cfg.StopTime + stopMargin + time.Millisecond))
 	case !r.stopping.IsZero():
 		if now.Sub(r.stopSent) >= stopAgain {
 			m.stop(now, h, r, out)
 		}
+		out.wakeAt(r.stopSent.Add(stopAgain))
+	case r.began.IsZero():
+		if now.Sub(r.sent) >= startPatience && !m.lags {
+			m.startUnanswered(now, h, r, out)
+			return
+		}
+		out.wakeAt(later(now, r.sent.Add(startPatience)))
+	case r.overdue(now):
+		m.peek(now, h, out)
+		r.peekGap *= 2
+		r.peekAt = now.Add(r.peekGap)
 	case r.stands(now):
 		out.log(event.RunStands, r.ref.Task, "it makes no progress on endpoint "+h.info.ID)
 		h.health.suspend(now)
 		m.stop(now, h, r, out)
+	default:
+		out.wakeAt(r.peekAt)
 	}
 }
 
+// expect sets when the run counts as overdue.
+func (r *heldRun) expect(now time.Time, pace float64) {
+	takes := time.Duration(max(pace, 1) * float64(r.estimate))
+	r.peekGap = overdueFloor
+	r.peekAt = now.Add(max(time.Duration(overdueFactor*float64(takes)), takes+overdueFloor))
+}
+
+// overdue reports whether the run should have ended by now and another look is
+// due.
+func (r *heldRun) overdue(now time.Time) bool { return !now.Before(r.peekAt) }
+
 // finish takes a run off its endpoint and tells its home.
 func (m *Machine) finish(now time.Time, h *held, ref run.Ref, status run.Status, out *Output) {
 	r := h.runs[ref]
@@ -134,6 +172,9 @@
 		m.updated(now, message.RunUpdate{Run: r.ref, Status: status, Endpoint: h.info.ID}, out)
 		return
 	}
+	if status != run.Started {
+		m.remember(now, r, status, h.info.ID)
+	}
 	if _, ok := m.peers[r.home]; !ok {
 		return
 	}
--- a/pool/uncertain.go
+++ b/pool/uncertain.go
@@ -16,12 +16,7 @@
 // holderLost takes in that the holder of some placed tasks cannot be reached.
 // It stops their runs as soon as it notices that, or they end with the lease.
 func (m *Machine) holderLost(now time.Time, holder instance.Ref, out *Output) {
-	for name, g := range m.ghosts {
-		if g.holder == holder {
-			g.until = now.Add(m.lapseTime())
-			m.ghosts[name] = g
-		}
-	}
+	m.doubtGhosts(now, holder)
 	for _, j := range m.sortedJobs() {
 		lost := 0
 		for _, tasks := range j.steps {
@@ -38,6 +33,16 @@
 	}
 }
 
+// doubtGhosts takes in that the ends of the ghosts at a holder may not be told.
+func (m *Machine) doubtGhosts(now time.Time, holder instance.Ref) {
+	for name, g := range m.ghosts {
+		if g.holder == holder {
+			g.until = now.Add(m.lapseTime())
+			m.ghosts[name] = g
+		}
+	}
+}
+
 // resolve lets tasks whose last run has surely ended wait for a place again,
 // and answers the jobs that this would make useless.
 func (m *Machine) resolve(now time.Time, out *Output) {
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -26,6 +26,7 @@
 	testResend   = 1300 * time.Millisecond
 	testDelay    = time.Millisecond
 	testTimeout  = 250 * time.Millisecond
+	testLook     = 80 * time.Millisecond
 	testSilence  = 800 * time.Millisecond
 	testReconect = 200 * time.Millisecond
 )
@@ -90,6 +91,11 @@
 		refused  int
 		answers  []*fault.Error
 		closed   bool
+		// tally counts the answer, against the goal, if it is set.
+		tally *tally
+		goal  time.Time
+		// run is how long the tasks really run.
+		run time.Duration
 	}
 )
 
@@ -332,10 +338,10 @@
 	sent := w.now
 	e := w.endpointAt(l.Order)
 	reply := func(r LookReply) {
-		r.Endpoint, r.Token, r.Sent = l.Endpoint.ID, l.Token, sent
+		r.Endpoint, r.Token, r.Sent, r.Seen, r.Peek = l.Endpoint.ID, l.Token, sent, l.Seen, l.Peek
 		w.input(n, func(m *Machine, out *Output) { m.LookReplied(w.now, r, out) })
 	}
-	lost := func() { w.after(l.Wait+testTimeout, func() { reply(LookReply{Reply: Reply{Verdict: Unanswered}}) }) }
+	lost := func() { w.after(l.Wait+testLook, func() { reply(LookReply{Reply: Reply{Verdict: Unanswered}}) }) }
 	if w.dark[[2]int{n.index, e.index}] {
 		lost()
 		return
@@ -360,10 +366,16 @@
 
 // submit hands a new job in at a node.
 func (w *world) submit(at int, q *route.Queue, deadline time.Duration, steps ...Step) *clientJob {
+	c := w.newJob(q, deadline, steps...)
+	w.try(c, at)
+	return c
+}
+
+// newJob returns a job that was not handed in yet.
+func (w *world) newJob(q *route.Queue, deadline time.Duration, steps ...Step) *clientJob {
 	w.lastJob++
 	c := &clientJob{job: Job{ID: fmt.Sprintf("j%04d", w.lastJob), Queue: q, Spec: "x", Steps: steps, Deadline: w.now.Add(deadline)}}
 	w.watch.jobs[c.job.ID] = c
-	w.try(c, at)
 	return c
 }
 
--- a/runner/run.go
+++ b/runner/run.go
@@ -30,7 +30,10 @@
 	// platform's balancer needs two misses, a second apart, to leave it out.
 	lingerTime = 2500 * time.Millisecond
 	// exitMargin is how long before the end of its grace an instance ends.
-	exitMargin = 700 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
+	// answerTime is how long before its end an instance answers the jobs that
+	// have not ended, so that the answers leave.
+	answerTime = 150 * time.Millisecond
 )
 
 // Run serves until the context ends, then stops in order. force ends that
@@ -126,8 +129,9 @@
 	begun := time.Now()
 	r.Record(begun, event.Record{Kind: event.StopBegun, Subject: r.cfg.Self.ID})
 	r.stopping.Store(true)
-	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.BeginStop(now, out) })
-	limit, cancel := context.WithTimeout(force, r.cfg.GraceTime-exitMargin)
+	end := begun.Add(r.cfg.GraceTime - exitMargin)
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.BeginStop(now, end.Add(-answerTime), out) })
+	limit, cancel := context.WithDeadline(force, end)
 	defer cancel()
 	if err := r.withdraw(limit); err != nil {
 		r.Record(time.Now(), event.Record{Kind: event.StoreDown, Subject: "store", Detail: "the own entry could not be removed: " + err.Error()})
