Take a refused connection for silence, not for proof that nothing runs

Change: a refused connection proves only that this order had no effect; what was accepted before ends with its lease. The tail of an expected wait now shrinks with the number of ends that it needs. Test that failed first: TestFailures/connections_to_an_endpoint_are_refused.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,9 +16,11 @@
 	// retrySpread is over how much more the callers are spread that are
 	// refused together.
 	retrySpread = time.Second
-	// tailFactor is by how much a wait may exceed the expected one: a job is
-	// in time only if the last of its tasks is.
-	tailFactor = 2.5
+	// loadError is by how much what is known of the load may be off, and
+	// tailWidth how many standard deviations of the wait a job must survive to
+	// be in time: the last of its tasks decides.
+	loadError = 0.2
+	tailWidth = 3
 	// leastLeft is the part of all places that counts as left by more urgent
 	// jobs in any case, so that a short peak of theirs refuses nobody.
 	leastLeft = 0.1
@@ -159,9 +162,13 @@
 	}
 	mean := l.work / time.Duration(all)
 	left := max(float64(l.places)-l.urgent, leastLeft*float64(l.places))
-	return time.Duration(tailFactor * float64(excess) * float64(mean) / left)
+	return time.Duration(tail(excess) * float64(excess) * float64(mean) / left)
 }
 
+// tail returns by how much the wait for that many ends of runs may exceed the
+// expected one. The more ends, the closer their sum is to what is expected.
+func tail(ends int) float64 { return 1 + loadError + tailWidth/math.Sqrt(float64(ends)) }
+
 // retryAfter returns when a refused caller should come back. It is spread by
 // the job's ID, so that those refused together come back apart.
 func (m *Machine) retryAfter(j *homeJob) time.Duration {
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -71,6 +71,14 @@
 			w.cutEndpoint(n, e, 3*time.Second)
 		}
 	}},
+	{"connections to an endpoint are refused", func(w *world) {
+		w.refuse = true
+		e := w.rng.IntN(len(w.endpoints))
+		for n := range w.nodes {
+			w.cutEndpoint(n, e, 3*time.Second)
+		}
+		w.after(3*time.Second, func() { w.refuse = false })
+	}},
 	{"an instance stops in order", func(w *world) {
 		i := w.rng.IntN(len(w.nodes))
 		n := w.nodes[i]
--- a/pool/held.go
+++ b/pool/held.go
@@ -361,9 +361,12 @@
 	case Fenced:
 		m.hear(now, h, reply)
 		m.fenced(now, h, out)
-	case Reborn, Gone:
+	case Reborn:
 		m.reborn(now, h, out)
 		h.health.suspend(now)
+	case Gone:
+		h.giveUp(now)
+		h.health.suspend(now)
 	case Unanswered:
 		h.lookAgain = now.Add(tickPeriod)
 	default:
@@ -372,6 +375,13 @@
 	}
 }
 
+// giveUp lets the lease end. That a connection is refused does not prove that
+// nothing runs: a network that is cut may refuse it too.
+func (h *held) giveUp(now time.Time) {
+	h.asked = earlier(h.asked, now.Add(-silence-time.Millisecond))
+	h.lookAgain = now.Add(tickPeriod)
+}
+
 // fenced gives the endpoint up to a holder with a higher token. Its runs are
 // over once that one has stopped them or the lease has ended.
 func (m *Machine) fenced(now time.Time, h *held, out *Output) {
@@ -388,8 +398,7 @@
 }
 
 // reborn takes in that the endpoint runs nothing of before: it has started
-// again, or nothing listens there. Orders under way may still reach the next
-// boot.
+// again, or its lease is over. Orders under way may still reach the next boot.
 func (m *Machine) reborn(now time.Time, h *held, out *Output) {
 	for _, r := range h.sorted() {
 		if r.began.IsZero() {
--- a/pool/output.go
+++ b/pool/output.go
@@ -26,7 +26,8 @@
 	Unhealthy
 	// Reborn means that another boot of the endpoint answered.
 	Reborn
-	// Gone means that nothing listens at the endpoint's address.
+	// Gone means that the connection was refused, so that this order had no
+	// effect. It tells nothing of earlier ones.
 	Gone
 	// Invalid means that the endpoint could not read the order.
 	Invalid
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -47,6 +47,9 @@
 		// nodes are cut off from which endpoints.
 		cut  map[[2]int]int
 		dark map[[2]int]bool
+		// refuse tells that orders over a cut are refused at once rather than
+		// not answered.
+		refuse bool
 		// lateShare is the share of orders that are not answered and carried
 		// out late.
 		lateShare float64
@@ -303,6 +306,10 @@
 		w.input(n, func(m *Machine, out *Output) { back(r, m, out) })
 	}
 	if w.dark[[2]int{n.index, e.index}] {
+		if w.refuse {
+			w.after(testDelay, func() { reply(Reply{Verdict: Gone}) })
+			return
+		}
 		w.after(testTimeout, func() { reply(Reply{Verdict: Unanswered}) })
 		return
 	}
@@ -343,6 +350,10 @@
 	}
 	lost := func() { w.after(l.Wait+testLook, func() { reply(LookReply{Reply: Reply{Verdict: Unanswered}}) }) }
 	if w.dark[[2]int{n.index, e.index}] {
+		if w.refuse {
+			w.after(testDelay, func() { reply(LookReply{Reply: Reply{Verdict: Gone}}) })
+			return
+		}
 		lost()
 		return
 	}
