--- a/pool/admission.go
+++ b/pool/admission.go
@@ -36,7 +36,6 @@
 
 // admit returns why a job is refused as not run, or nil.
 func (m *Machine) admit(now time.Time, j *homeJob) *fault.Error {
-	m.learnNeeds(j.Job)
 	f := m.refusal(now, j)
 	if f == nil {
 		m.arrivals.add(now, j.Queue.Service, j.Queue.Priority, workOf(j.Job))
@@ -50,6 +49,7 @@
 	if !m.everFits(j.Job) {
 		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service)
 	}
+	m.learnNeeds(j)
 	if m.leaving && now.Add(stopFactor*longestChain(j.Steps)+answerMargin).After(m.endsAt) {
 		return fault.New(fault.Stopping, "the process ends in %s", m.endsAt.Sub(now)).WithRetryAfter(m.retryAfter(j))
 	}
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -78,6 +78,8 @@
 		undone              int
 		// ran tells that a run may have begun.
 		ran bool
+		// learnt tells that its needs are part of what is usual.
+		learnt bool
 		// deferred tells that it can't meet its goal any more.
 		deferred bool
 		queued   bool
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -90,6 +90,17 @@
 	is.Equal(c.answers[0].Kind, fault.NoEndpointFits)
 }
 
+// A job that fits nowhere does not count in what tasks usually need.
+func TestTooLargeJobTeachesNothing(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 1, 2, 4)
+	w.submit(0, urgent, time.Second, Step{Tasks: 1, Needs: needs(99), Estimate: 20 * time.Millisecond})
+	c := w.submit(0, urgent, time.Second, step(2, 20*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+}
+
 // A caller that leaves ends what runs for it at once.
 func TestCallerLeaves(t *testing.T) {
 	is := is.New(t)
--- a/pool/place.go
+++ b/pool/place.go
@@ -245,7 +245,11 @@
 }
 
 // learnNeeds takes the needs of a job into what is usual.
-func (m *Machine) learnNeeds(j Job) {
+func (m *Machine) learnNeeds(j *homeJob) {
+	if j.learnt {
+		return
+	}
+	j.learnt = true
 	for _, s := range j.Steps {
 		usual, ok := m.usual[j.Queue.Service]
 		if !ok {
--- a/runner/run.go
+++ b/runner/run.go
@@ -19,8 +19,6 @@
 const (
 	minTick = time.Millisecond
 	maxTick = 100 * time.Millisecond
-	// metricsPort is that of the deploy file's metrics address.
-	metricsPort = 9464
 	// headerTime and idleTime bound connections of callers; they are the
 	// platform's usual limits.
 	headerTime  = 3 * time.Second
@@ -84,7 +82,7 @@
 	addresses := []netip.AddrPort{
 		r.cfg.Callers,
 		r.cfg.Readiness,
-		netip.AddrPortFrom(r.cfg.Self.Address.Addr(), metricsPort),
+		r.cfg.Metrics,
 		r.cfg.Self.Address,
 	}
 	var list []net.Listener
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,8 +23,8 @@
 	// Config sets up a Runner.
 	Config struct {
 		Self instance.Info
-		// Callers and Readiness are the addresses to serve them on.
-		Callers, Readiness netip.AddrPort
+		// Callers, Readiness and Metrics are the addresses to serve them on.
+		Callers, Readiness, Metrics netip.AddrPort
 		// LeaseTime and StopTime are those of the endpoints.
 		LeaseTime, StopTime time.Duration
 		// GraceTime is how long after the signal to stop the process may run.
