--- /dev/null
+++ b/pool/history.go
@@ -0,0 +1,57 @@
+package pool
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// maxHistory bounds the tasks that a log line names.
+const maxHistory = 16
+
+// history tells what became of a job, for its log line: its queue, how long it
+// took against its goal, and the last run of each task with its holder and its
+// endpoint.
+func (j *homeJob) history(now time.Time) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "queue=%s took=%s goal=%s", j.Queue.Name, milliseconds(now.Sub(j.arrived)), milliseconds(j.goal.Sub(j.arrived)))
+	if j.deferred {
+		b.WriteString(" deferred")
+	}
+	b.WriteString(" runs=")
+	named := 0
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if named == maxHistory {
+				b.WriteString("...")
+				return b.String()
+			}
+			if named > 0 {
+				b.WriteByte(',')
+			}
+			t.describe(&b)
+			named++
+		}
+	}
+	return b.String()
+}
+
+// describe writes step.index#run@endpoint/holder, with a mark unless it is done.
+func (t *homeTask) describe(b *strings.Builder) {
+	fmt.Fprintf(b, "%d.%d#%d", t.step, t.index, t.number)
+	if t.endpoint != "" {
+		b.WriteString("@" + t.endpoint)
+	}
+	if t.holder.ID != "" {
+		b.WriteString("/" + t.holder.ID)
+	}
+	switch t.state {
+	case placed:
+		b.WriteString("(running)")
+	case waiting, blocked:
+		b.WriteString("(waiting)")
+	}
+}
+
+// milliseconds rounds a duration for a log line.
+func milliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -298,12 +298,22 @@
 			}
 		}
 	}
-	if f != nil {
-		out.log(event.JobFailed, j.ID, f.Error())
-	}
+	m.logAnswer(now, j, f, out)
 	out.Answers = append(out.Answers, Answer{Call: j.call, Fault: f})
 }
 
+// logAnswer writes how a job ended, and which runs it had.
+func (m *Machine) logAnswer(now time.Time, j *homeJob, f *fault.Error, out *Output) {
+	kind, reason := event.JobAnswered, "complete"
+	switch {
+	case f != nil && f.Kind.Row().NotRun:
+		kind, reason = event.JobRefused, f.Error()
+	case f != nil:
+		kind, reason = event.JobFailed, f.Error()
+	}
+	out.log(kind, j.ID, reason+"; "+j.history(now))
+}
+
 // abandon stops the run of a task whose job is over.
 func (m *Machine) abandon(now time.Time, t *homeTask, out *Output) {
 	ref := run.Ref{Task: t.name, Number: t.number}
