--- a/message/pool.go
+++ b/message/pool.go
@@ -28,6 +28,8 @@
 		// Places is how many tasks of the usual size fit in all, and Free
 		// how many more fit now.
 		Places, Free int
+		// Largest is the largest task that fits on one endpoint now.
+		Largest task.Needs
 		// Waits are the tasks that wait at the sender, by priority.
 		Waits []Wait
 	}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -62,7 +62,7 @@
 		message.Configuration{Document: configuration.Document{Version: 3, ChangeID: "x", Classes: []class.Class{{Name: "c", Target: time.Second}}}},
 		message.Stale{Request: 8},
 		message.Standing{Leaving: true, Version: 4, Endpoints: []string{"w"}, Rooms: []message.Room{{
-			Service: "s", Places: 9, Free: 2,
+			Service: "s", Places: 9, Free: 2, Largest: needs,
 			Waits: []message.Wait{{Priority: 1, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: needs}},
 		}}},
 		message.StartRun{
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -100,7 +100,13 @@
 		if err != nil {
 			return nil, err
 		}
-		b.Rooms = append(b.Rooms, message.Room{Service: r.GetService(), Places: int(r.GetPlaces()), Free: int(r.GetFree()), Waits: waits})
+		largest, err := decodeNeeds(r.GetLargest())
+		if err != nil {
+			return nil, err
+		}
+		b.Rooms = append(b.Rooms, message.Room{
+			Service: r.GetService(), Places: int(r.GetPlaces()), Free: int(r.GetFree()), Largest: largest, Waits: waits,
+		})
 	}
 	return b, nil
 }
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -61,7 +61,7 @@
 func encodeStanding(b message.Standing) *wire.Standing {
 	w := &wire.Standing{Leaving: b.Leaving, Version: b.Version, Endpoints: b.Endpoints}
 	for _, r := range b.Rooms {
-		room := &wire.Room{Service: r.Service, Places: int32(r.Places), Free: int32(r.Free)}
+		room := &wire.Room{Service: r.Service, Places: int32(r.Places), Free: int32(r.Free), Largest: encodeNeeds(r.Largest)}
 		for _, d := range r.Waits {
 			room.Waits = append(room.Waits, &wire.Wait{
 				Priority: int32(d.Priority),
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -54,13 +54,10 @@
 		return fault.New(fault.Stopping, "the process ends in %s", m.endsAt.Sub(now)).WithRetryAfter(m.retryAfter(j))
 	}
 	l := m.load(now, j)
-	if l.places == 0 && now.Sub(m.begun) >= startTime {
+	if l.places == 0 {
 		return fault.New(fault.EndpointsUnavailable, "no endpoint of service %s takes work", j.Queue.Service).WithRetryAfter(m.retryAfter(j))
 	}
 	wait := l.wait(j.undone)
-	if now.Sub(m.begun) < startTime {
-		wait = 0 // the places are being claimed
-	}
 	end := now.Add(wait).Add(longestChain(j.Steps))
 	switch {
 	case end.After(j.Deadline):
@@ -129,11 +126,28 @@
 		}
 		l.addWaits(r.Waits, j.Queue.Priority)
 	}
+	if now.Sub(m.begun) < startTime {
+		// The places are being claimed, and nothing runs there.
+		l.places = max(l.places, m.listedPlaces(service))
+		l.free = max(l.free, l.places)
+	}
 	l.work += workOf(j.Job)
 	l.urgent = m.arrivals.before(now, service, j.Queue.Priority) * float64(len(m.peers)+1)
 	return l
 }
 
+// listedPlaces returns how many tasks of the usual size all listed endpoints of
+// a service can run.
+func (m *Machine) listedPlaces(service string) int {
+	all := 0
+	for _, h := range m.ordered {
+		if h.info.Service == service && !h.info.Leaving {
+			all += fits(m.usual[service], h.info.Size, h.info.Slots)
+		}
+	}
+	return all
+}
+
 // workOf returns the expected run time of all tasks together.
 func workOf(j Job) time.Duration {
 	work := time.Duration(0)
--- a/pool/place.go
+++ b/pool/place.go
@@ -74,7 +74,7 @@
 	if t.job.Steps[t.step].Spread > 0 && m.unknownPlace(t) {
 		return false
 	}
-	p := m.peerWithRoom(s.Service)
+	p := m.peerWithRoom(s.Service, s.Needs)
 	if p == nil {
 		return false
 	}
@@ -239,6 +239,21 @@
 	return all, free
 }
 
+// largest returns what is left on the endpoint held here that has the most
+// cores left.
+func (m *Machine) largest(now time.Time, service string) task.Needs {
+	var most task.Needs
+	for _, h := range m.ordered {
+		if !h.held() || h.info.Service != service || !h.ready(now) || len(h.runs)+h.reserved >= h.info.Slots {
+			continue
+		}
+		if left := sum(h.info.Size, h.used, -1); left.Cores > most.Cores {
+			most = left
+		}
+	}
+	return most
+}
+
 func (m *Machine) freePlaces(now time.Time, service string) int {
 	_, free := m.totals(now, service)
 	return free
--- a/pool/share.go
+++ b/pool/share.go
@@ -57,12 +57,12 @@
 
 // peerWithRoom returns the peer to run a task, and counts a place of it as
 // taken: one of the own data centre, or else that with the most free places.
-func (m *Machine) peerWithRoom(service string) *peer {
+func (m *Machine) peerWithRoom(service string, needs task.Needs) *peer {
 	var best *message.Room
 	var at *peer
 	for _, p := range m.nearPeers {
 		r := p.room(service)
-		if r == nil || r.Free <= 0 || p.told.Leaving {
+		if r == nil || r.Free <= 0 || p.told.Leaving || !within(needs, r.Largest) {
 			continue
 		}
 		near := p.info.DataCentre == m.cfg.Self.DataCentre
@@ -209,7 +209,7 @@
 		switch {
 		case (r.Free == 0) != (old.Free == 0), moreWaits(r.Waits, old.Waits):
 			return tellSoon
-		case r.Free != old.Free, r.Places != old.Places, !slices.Equal(r.Waits, old.Waits):
+		case r.Free != old.Free, r.Places != old.Places, r.Largest != old.Largest, !slices.Equal(r.Waits, old.Waits):
 			wait = tellLater
 		}
 	}
@@ -256,6 +256,7 @@
 	for i := range s.Rooms {
 		r := &s.Rooms[i]
 		r.Places, r.Free = m.totals(now, r.Service)
+		r.Largest = m.largest(now, r.Service)
 		if len(r.Waits) > 0 {
 			r.Free = 0 // own tasks take what is left
 		}
