Try one claim in a data centre that was out of reach before the others

Ruled out: entries that expired at the store (they were kept for the two seconds); a pause alone (the claims arrive when the cut ends, whenever it does). Test that failed first: TestHealedCutTakesNothing.

--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -71,6 +71,7 @@
 			w.cutEndpoint(n, e, 3*time.Second)
 		}
 	}},
+	{"a data centre is cut off", func(w *world) { w.cutCentre(4 * time.Second) }},
 	{"connections to an endpoint are refused", func(w *world) {
 		w.refuse = true
 		e := w.rng.IntN(len(w.endpoints))
@@ -104,6 +105,22 @@
 	}},
 }
 
+// cutCentre cuts the two data centres off from each other.
+func (w *world) cutCentre(d time.Duration) {
+	for a := range w.nodes {
+		for b := range w.nodes {
+			if a < b && a%2 != b%2 {
+				w.cutNodes(a, b, d)
+			}
+		}
+		for e := range w.endpoints {
+			if e%2 != a%2 {
+				w.cutEndpoint(a, e, d)
+			}
+		}
+	}
+}
+
 func (w *world) anyEndpoint() *fakeEndpoint {
 	for {
 		if e := w.endpoints[w.rng.IntN(len(w.endpoints))]; e.up {
@@ -263,6 +280,24 @@
 	is.True(served > 25) // those of the first half at least
 }
 
+// When data centres that were cut off from each other are joined again, no
+// holder loses its endpoints: what runs there goes on.
+func TestHealedCutTakesNothing(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			w := settled(t, seed, 5, 15) // three instances on one side, two on the other
+			w.cutCentre(time.Duration(3000+seed*211) * time.Millisecond)
+			w.run(2500 * time.Millisecond)
+			stopped := w.watch.ends[run.Stopped] + w.watch.ends[run.Lapsed]
+			w.traffic(4 * time.Second)
+			w.run(6 * time.Second)
+			lost := w.watch.ends[run.Stopped] + w.watch.ends[run.Lapsed] - stopped
+			is.True(lost <= 4) // one endpoint's runs at most, for the claim that is tried
+		})
+	}
+}
+
 // A holder that is lost costs its tasks the time of a lease at most.
 func TestHolderLost(t *testing.T) {
 	is := is.New(t)
--- a/pool/held.go
+++ b/pool/held.go
@@ -177,6 +177,7 @@
 func (m *Machine) claim(now time.Time, h *held, out *Output) {
 	h.drop()
 	h.token = m.newToken(now, h)
+	m.claimed(h)
 	m.look(now, h, out)
 }
 
@@ -256,6 +257,9 @@
 		m.settle(now, out)
 		return
 	}
+	if reply.Verdict != Unanswered && reply.Verdict != Gone {
+		m.claimAnswered(now, h)
+	}
 	if reply.Verdict == Accepted {
 		m.looked(now, h, reply, out)
 	} else {
@@ -421,6 +425,7 @@
 	}
 	if m.lapsed(now, h) {
 		out.log(event.EndpointSilent, h.info.ID, "it has not answered for longer than its lease")
+		m.claimUnanswered(now, h)
 		m.reborn(now, h, out)
 		h.health.suspend(now)
 		return
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -56,6 +56,8 @@
 		peers map[instance.Ref]*peer
 		// lost are the peers whose stream has just ended.
 		lost map[instance.Ref]*peer
+		// abroad is what is known of the ways to other data centres.
+		abroad map[string]*abroad
 		// told are the ends that peers were told lately, by home.
 		told map[instance.Ref][]toldEnd
 		// nearPeers are the peers, those of the own data centre first.
@@ -93,6 +95,7 @@
 		endpoints: map[string]*held{},
 		peers:     map[instance.Ref]*peer{},
 		lost:      map[instance.Ref]*peer{},
+		abroad:    map[string]*abroad{},
 		told:      map[instance.Ref][]toldEnd{},
 		jobs:      map[string]*homeJob{},
 		calls:     map[uint64]*homeJob{},
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -189,14 +189,12 @@
 	return false
 }
 
-// mayClaim reports whether the endpoint may be taken. One of another data
-// centre is left to the instances there while most instances are out of reach:
-// it is this one, then, that is cut off.
+// mayClaim reports whether the endpoint may be taken.
 func (m *Machine) mayClaim(now time.Time, h *held) bool {
 	if h.info.Leaving || now.Before(h.claimAfter) || m.heldByPeer(now, h) {
 		return false
 	}
-	return h.info.DataCentre == m.cfg.Self.DataCentre || 2*(len(m.peers)+1) > m.listed
+	return h.info.DataCentre == m.cfg.Self.DataCentre || m.mayClaimAbroad(now, h)
 }
 
 // assign claims the endpoints that this instance should hold and releases
