--- a/message/pool.go
+++ b/message/pool.go
@@ -1,8 +1,10 @@
 package message
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/run"
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -108,6 +110,29 @@
 
 	// RoutesRequest asks for Routes.
 	RoutesRequest struct{}
+
+	// Lists carries the platform's lists as the sender has them, for an
+	// instance that has started while the store is away.
+	Lists struct {
+		Endpoints []ListedEndpoint
+		Instances []instance.Info
+	}
+
+	// ListsRequest asks for Lists.
+	ListsRequest struct{}
+
+	// ListedEndpoint is an endpoint as the platform's list gives it; see
+	// package endpoint.
+	ListedEndpoint struct {
+		ID               string
+		Address          netip.AddrPort
+		DataCentre, Rack string
+		Slots            int
+		Size             task.Needs
+		Leaving          bool
+		Service          string
+		Labels           []string
+	}
 )
 
 func (Standing) body()      {}
@@ -119,3 +144,5 @@
 func (Decline) body()       {}
 func (Routes) body()        {}
 func (RoutesRequest) body() {}
+func (Lists) body()         {}
+func (ListsRequest) body()  {}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -76,6 +76,14 @@
 		message.Decline{Number: 7},
 		message.Routes{Document: []byte("{}")},
 		message.RoutesRequest{},
+		message.Lists{
+			Instances: []instance.Info{{Ref: who, Rack: "r", Address: netip.MustParseAddrPort("10.0.0.1:7"), Leaving: true}},
+			Endpoints: []message.ListedEndpoint{{
+				ID: "w", Address: netip.MustParseAddrPort("10.0.0.1:7"), DataCentre: "d", Rack: "r", Slots: 8, Size: needs,
+				Leaving: true, Service: "s", Labels: []string{"a"},
+			}},
+		},
+		message.ListsRequest{},
 	}
 }
 
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/netip"
 
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/peer/internal/wire"
@@ -32,6 +34,10 @@
 		return message.Routes{Document: b.Routes.GetDocument()}, nil
 	case *wire.Message_RoutesRequest:
 		return message.RoutesRequest{}, nil
+	case *wire.Message_Lists:
+		return decodeLists(b.Lists)
+	case *wire.Message_ListsRequest:
+		return message.ListsRequest{}, nil
 	}
 	return nil, errNoBody
 }
@@ -128,3 +134,44 @@
 	}
 	return waits, nil
 }
+
+func decodeLists(w *wire.Lists) (message.Body, error) {
+	b := message.Lists{}
+	for _, item := range w.GetInstances() {
+		i, err := decodeInstance(item)
+		if err != nil {
+			return nil, err
+		}
+		b.Instances = append(b.Instances, i)
+	}
+	for _, item := range w.GetEndpoints() {
+		e, err := decodeListedEndpoint(item)
+		if err != nil {
+			return nil, err
+		}
+		b.Endpoints = append(b.Endpoints, e)
+	}
+	return b, nil
+}
+
+func decodeListedEndpoint(w *wire.ListedEndpoint) (message.ListedEndpoint, error) {
+	address, err := netip.ParseAddrPort(w.GetAddress())
+	if err != nil {
+		return message.ListedEndpoint{}, fmt.Errorf("endpoint %s has no valid address: %w", w.GetId(), err)
+	}
+	size, err := decodeNeeds(w.GetSize())
+	if err := errors.Join(err, checkCount(w.GetSlots()), checkName(w.GetId())); err != nil {
+		return message.ListedEndpoint{}, err
+	}
+	return message.ListedEndpoint{
+		ID:         w.GetId(),
+		Address:    address,
+		DataCentre: w.GetDataCentre(),
+		Rack:       w.GetRack(),
+		Slots:      int(w.GetSlots()),
+		Size:       size,
+		Leaving:    w.GetLeaving(),
+		Service:    w.GetService(),
+		Labels:     w.GetLabels(),
+	}, nil
+}
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -36,6 +36,10 @@
 		w.Body = &wire.Message_Routes{Routes: &wire.Routes{Document: b.Document}}
 	case message.RoutesRequest:
 		w.Body = &wire.Message_RoutesRequest{RoutesRequest: &wire.RoutesRequest{}}
+	case message.Lists:
+		w.Body = &wire.Message_Lists{Lists: encodeLists(b)}
+	case message.ListsRequest:
+		w.Body = &wire.Message_ListsRequest{ListsRequest: &wire.ListsRequest{}}
 	default:
 		return fmt.Errorf("message of type %T has no wire form; add it to peer.proto", body)
 	}
@@ -75,3 +79,24 @@
 	}
 	return w
 }
+
+func encodeLists(b message.Lists) *wire.Lists {
+	w := &wire.Lists{}
+	for _, i := range b.Instances {
+		w.Instances = append(w.Instances, encodeInstance(i))
+	}
+	for _, e := range b.Endpoints {
+		w.Endpoints = append(w.Endpoints, &wire.ListedEndpoint{
+			Id:         e.ID,
+			Address:    e.Address.String(),
+			DataCentre: e.DataCentre,
+			Rack:       e.Rack,
+			Slots:      int32(e.Slots),
+			Size:       encodeNeeds(e.Size),
+			Leaving:    e.Leaving,
+			Service:    e.Service,
+			Labels:     e.Labels,
+		})
+	}
+	return w
+}
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -56,6 +56,9 @@
 		peers map[instance.Ref]*peer
 		// lost are the peers whose stream has just ended.
 		lost map[instance.Ref]*peer
+		// unsettled tells that holders are to be found anew: the endpoints,
+		// the peers or what they hold changed, or some time has passed.
+		unsettled bool
 		// abroad is what is known of the ways to other data centres.
 		abroad map[string]*abroad
 		// told are the ends that peers were told lately, by home.
@@ -121,6 +124,7 @@
 		}
 	}
 	m.forgetUnlisted(listed)
+	m.unsettled = true
 	m.settle(now, out)
 }
 
@@ -173,6 +177,7 @@
 // new jobs are taken as long as they can be answered before the process ends.
 func (m *Machine) BeginStop(now, end time.Time, out *Output) {
 	m.leaving = true
+	m.unsettled = true
 	m.endsAt = end
 	for _, j := range m.jobs {
 		j.Deadline = earlier(j.Deadline, end)
@@ -193,6 +198,7 @@
 	m.deferJobs(now, out)
 	m.expireOffers(now)
 	m.expireGhosts(now)
+	m.unsettled = true
 	for _, h := range m.ordered {
 		m.tend(now, h, out)
 	}
@@ -202,7 +208,10 @@
 // settle does all that the last input made possible and says when Tick is
 // wanted.
 func (m *Machine) settle(now time.Time, out *Output) {
-	m.assign(now, out)
+	if m.unsettled {
+		m.unsettled = false
+		m.assign(now, out)
+	}
 	m.place(now, out)
 	m.tell(now, out)
 	out.wakeAt(m.ticked.Add(tickPeriod))
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -44,6 +44,7 @@
 // SetInstances tells how many other instances the platform lists.
 func (m *Machine) SetInstances(now time.Time, peers int, out *Output) {
 	m.listed = peers
+	m.unsettled = true
 	m.settle(now, out)
 }
 
@@ -59,6 +60,7 @@
 		m.doubtGhosts(now, info.Ref)
 	}
 	p.lostAt = time.Time{}
+	m.unsettled = true
 	m.peers[info.Ref] = p
 	m.nearPeers = append(m.nearPeers, p)
 	slices.SortFunc(m.nearPeers, m.compareNearness)
@@ -127,6 +129,7 @@
 // there is known once its leases must have ended.
 func (m *Machine) forgetPeer(now time.Time, ref instance.Ref, out *Output) {
 	delete(m.lost, ref)
+	m.unsettled = true
 	for _, h := range m.ordered {
 		m.stopRunsOf(now, h, ref, out)
 	}
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -40,6 +40,9 @@
 }
 
 func (m *Machine) learnStanding(now time.Time, p *peer, s message.Standing) {
+	if !p.introduced || s.Leaving != p.told.Leaving || !slices.Equal(s.Endpoints, p.told.Endpoints) {
+		m.unsettled = true
+	}
 	p.told, p.toldAt, p.introduced = s, now, true
 	p.holds = make(map[string]bool, len(s.Endpoints))
 	for _, id := range s.Endpoints {
--- a/pool/share.go
+++ b/pool/share.go
@@ -176,6 +176,10 @@
 
 // tell sends the peers the own standing if it has changed.
 func (m *Machine) tell(now time.Time, out *Output) {
+	if due := m.standing.at.Add(tellSoon); now.Before(due) && len(m.standing.newcomers) == 0 {
+		out.wakeAt(due)
+		return
+	}
 	s := m.ownStanding(now)
 	for _, ref := range m.standing.newcomers {
 		if _, ok := m.peers[ref]; ok {
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -1,8 +1,8 @@
 package runner
 
 import (
-	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
@@ -98,7 +98,7 @@
 		list.StoreBack(now)
 		cursor = change.Cursor
 		if r.applyEndpoints(now, list, change) {
-			r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetEndpoints(now, list.Infos(), out) })
+			r.useEndpoints(list.Infos())
 		}
 		r.pause(endpointsPeriod)
 	}
@@ -169,8 +169,7 @@
 			infos = append(infos, l.Info)
 		}
 	}
-	r.peers.SetPeers(infos)
-	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetInstances(now, len(infos), out) })
+	r.useInstances(infos)
 }
 
 func (r *Runner) forget(l Listed) {
@@ -189,22 +188,8 @@
 	}
 }
 
-// withdraw removes this instance from the list at its planned stop.
-func (r *Runner) withdraw(ctx context.Context) error {
-	list, err := r.Store.Instances(ctx)
-	if err != nil {
-		return err
-	}
-	for _, l := range list {
-		if l.Info.Ref == r.cfg.Self.Ref {
-			return r.Store.Forget(ctx, l)
-		}
-	}
-	return nil
-}
-
-// shareRoutes asks a peer that has a newer configuration for it.
-func (r *Runner) shareRoutes(m message.Message) {
+// share passes on what the store told, and asks for it where a peer knows more.
+func (r *Runner) share(m message.Message) {
 	switch b := m.Body.(type) {
 	case message.Standing:
 		if b.Version > r.routes.Load().Version() {
@@ -216,5 +201,12 @@
 		}
 	case message.Routes:
 		r.learnRoutes(b.Document)
+	case message.ListsRequest:
+		if lists := r.ownLists(); len(lists.Endpoints) > 0 {
+			lists.Instances = append(slices.Clone(lists.Instances), r.cfg.Self)
+			r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: m.From, Body: lists})
+		}
+	case message.Lists:
+		r.learnLists(b)
 	}
 }
--- /dev/null
+++ b/runner/lists.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/pool"
+)
+
+// useEndpoints brings a list of endpoints into use.
+func (r *Runner) useEndpoints(infos []endpoint.Info) {
+	listed := make([]message.ListedEndpoint, 0, len(infos))
+	for _, i := range infos {
+		listed = append(listed, message.ListedEndpoint{
+			ID: i.ID, Address: i.Address, DataCentre: i.DataCentre, Rack: i.Rack, Slots: i.Slots, Size: i.Size,
+			Leaving: i.Leaving, Service: i.Service, Labels: i.Labels,
+		})
+	}
+	r.listsMu.Lock()
+	r.lists.Endpoints = listed
+	r.listsMu.Unlock()
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetEndpoints(now, infos, out) })
+}
+
+// useInstances brings a list of the other instances into use.
+func (r *Runner) useInstances(infos []instance.Info) {
+	r.listsMu.Lock()
+	r.lists.Instances = infos
+	r.listsMu.Unlock()
+	r.peers.SetPeers(infos)
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetInstances(now, len(infos), out) })
+}
+
+// ownLists returns the lists that are in use. They are replaced, never changed.
+func (r *Runner) ownLists() message.Lists {
+	r.listsMu.Lock()
+	defer r.listsMu.Unlock()
+	return r.lists
+}
+
+// learnLists takes the lists of a peer in, unless the store has told them: an
+// instance that starts while the store is away can serve by them. It finds its
+// peers because they go on calling it for a while.
+func (r *Runner) learnLists(l message.Lists) {
+	if len(r.ownLists().Endpoints) > 0 {
+		return
+	}
+	var instances []instance.Info
+	for _, i := range l.Instances {
+		if i.ID != r.cfg.Self.ID {
+			instances = append(instances, i)
+		}
+	}
+	infos := make([]endpoint.Info, 0, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		infos = append(infos, endpoint.Info{
+			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Rack: e.Rack, Slots: e.Slots, Size: e.Size,
+			Leaving: e.Leaving, Service: e.Service, Labels: e.Labels,
+		})
+	}
+	r.useInstances(instances)
+	r.useEndpoints(infos)
+}
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -23,6 +23,9 @@
 // Joined implements [peer.Handler].
 func (p peerInputs) Joined(i instance.Info) {
 	p.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.PeerJoined(now, i, out) })
+	if len(p.ownLists().Endpoints) == 0 {
+		p.Runner.peers.Send(message.Message{From: p.cfg.Self.Ref, To: i.Ref, Body: message.ListsRequest{}})
+	}
 }
 
 // Received implements [peer.Handler].
@@ -33,7 +36,7 @@
 		}
 	})
 	for _, msg := range ms {
-		p.shareRoutes(msg)
+		p.share(msg)
 	}
 }
 
--- a/runner/run.go
+++ b/runner/run.go
@@ -131,9 +131,6 @@
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.BeginStop(now, end.Add(-answerTime), out) })
 	limit, cancel := context.WithDeadline(force, end)
 	defer cancel()
-	if err := r.withdraw(limit); err != nil {
-		r.Record(time.Now(), event.Record{Kind: event.StoreDown, Subject: "store", Detail: "the own entry could not be removed: " + err.Error()})
-	}
 	for limit.Err() == nil {
 		if v := r.view.Load(); time.Since(begun) > lingerTime && v.Jobs == 0 && v.Running == 0 {
 			r.Record(time.Now(), event.Record{Kind: event.Stopped, Subject: r.cfg.Self.ID})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/peer"
 	"github.com/lovagecrank/lovagecrank/pool"
 	"github.com/lovagecrank/lovagecrank/route"
@@ -111,6 +112,10 @@
 		stopping atomic.Bool
 		metrics  *metrics
 
+		listsMu sync.Mutex
+		// lists are the platform's lists as they are in use.
+		lists message.Lists
+
 		mu       sync.Mutex
 		machine  *pool.Machine
 		out      pool.Output
