--- a/pool/machine.go
+++ b/pool/machine.go
@@ -65,8 +65,10 @@
 		told map[instance.Ref][]toldEnd
 		// nearPeers are the peers, those of the own data centre first.
 		nearPeers []*peer
-		// listed is how many peers the platform lists.
-		listed int
+		// listed is how many peers the platform lists, and listedNear how
+		// many of them in the own data centre; listRead tells that it did.
+		listed, listedNear int
+		listRead           bool
 
 		jobs  map[string]*homeJob
 		calls map[uint64]*homeJob
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -41,9 +41,15 @@
 	}
 )
 
-// SetInstances tells how many other instances the platform lists.
-func (m *Machine) SetInstances(now time.Time, peers int, out *Output) {
-	m.listed = peers
+// SetInstances tells which other instances the platform lists.
+func (m *Machine) SetInstances(now time.Time, others []instance.Info, out *Output) {
+	m.listed, m.listedNear = len(others), 0
+	for _, i := range others {
+		if i.DataCentre == m.cfg.Self.DataCentre {
+			m.listedNear++
+		}
+	}
+	m.listRead = true
 	m.unsettled = true
 	m.settle(now, out)
 }
@@ -137,12 +143,24 @@
 }
 
 // gathered reports whether the peers that are listed have joined, or had time
-// to.
-func (m *Machine) gathered(now time.Time) bool {
+// to: those of the own data centre for its endpoints, all for the others.
+func (m *Machine) gathered(now time.Time, h *held) bool {
 	if now.Sub(m.begun) >= gatherTime {
 		return true
 	}
-	return m.listed > 0 && len(m.peers) >= m.listed
+	if !m.listRead {
+		return false
+	}
+	if h.info.DataCentre != m.cfg.Self.DataCentre {
+		return len(m.peers) >= m.listed
+	}
+	near := 0
+	for _, p := range m.nearPeers {
+		if p.introduced && p.info.DataCentre == m.cfg.Self.DataCentre {
+			near++
+		}
+	}
+	return near >= m.listedNear
 }
 
 // owner returns which instance should hold the endpoint: by rendezvous hash
@@ -203,10 +221,10 @@
 // assign claims the endpoints that this instance should hold and releases
 // those that another one should.
 func (m *Machine) assign(now time.Time, out *Output) {
-	if !m.gathered(now) {
-		return
-	}
 	for _, h := range m.ordered {
+		if !m.gathered(now, h) {
+			continue
+		}
 		mine := m.owner(h) == m.cfg.Self.Ref
 		switch {
 		case !h.held() && mine && m.mayClaim(now, h):
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -171,7 +171,7 @@
 	n.machine = New(w.now, Config{Self: n.self, LeaseTime: testLease, StopTime: testStop})
 	n.wake = time.Time{}
 	w.input(n, func(m *Machine, out *Output) {
-		m.SetInstances(w.now, len(w.nodes)-1, out)
+		m.SetInstances(w.now, w.others(n), out)
 		m.SetEndpoints(w.now, w.listing(), out)
 	})
 	for _, o := range w.nodes {
@@ -181,6 +181,17 @@
 	}
 }
 
+// others returns the instances but one.
+func (w *world) others(n *node) []instance.Info {
+	var list []instance.Info
+	for _, o := range w.nodes {
+		if o != n {
+			list = append(list, o.self)
+		}
+	}
+	return list
+}
+
 func (w *world) listing() []endpoint.Info {
 	var list []endpoint.Info
 	for _, e := range w.endpoints {
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -30,7 +30,7 @@
 	r.lists.Instances = infos
 	r.listsMu.Unlock()
 	r.peers.SetPeers(infos)
-	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetInstances(now, len(infos), out) })
+	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.SetInstances(now, infos, out) })
 }
 
 // ownLists returns the lists that are in use. They are replaced, never changed.
