--- a/command/explain.go
+++ b/command/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 
 	"github.com/lovagecrank/lovagecrank/catalogue"
 	"github.com/lovagecrank/lovagecrank/event"
@@ -13,7 +14,11 @@
 
 func explainFlags(fs *flag.FlagSet) action {
 	format := outputFlag(fs)
+	logs := fs.String("logs", "", "comma-separated log files of all instances; tells a job's story from them, by its id")
 	return func(_ context.Context, s streams, args []string) error {
+		if *logs != "" {
+			return writeStory(s.out, args[0], strings.Split(*logs, ","))
+		}
 		e, ok := findEntry(args[0])
 		if !ok {
 			return fmt.Errorf("no error, event or metric has the name %q; docs/ERRORS.md, docs/EVENTS.md and docs/METRICS.md list them", args[0])
--- a/command/table.go
+++ b/command/table.go
@@ -183,7 +183,7 @@
 			name:      "explain",
 			arguments: "CODE",
 			title:     "Explain an error, a log event or a metric",
-			text:      "Prints what a code of an error reply or of a log line means and what to do. CODE may also be the name of an error kind, such as over_quota, or of a metric.",
+			text:      "Prints what a code of an error reply or of a log line means and what to do. CODE may also be the name of an error kind, such as over_quota, or of a metric. With -logs, CODE is a job's id, and the lines about it from the logs of several instances are printed in order.",
 			example:   "lovagecrank explain LC2032",
 			flags:     explainFlags,
 		},
