Stop a run that moves once at most; tell the starts of a job's runs

Change: without any progress a run is stopped as before; one that moves but is far over its estimate only at its first run, since it may be the task. Test that failed first: TestLongRunEnds.

--- a/pool/health.go
+++ b/pool/health.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// stands reports whether the run is far over its estimate and far from its
-// end.
+// stands reports whether the run is to be stopped, to start elsewhere: it makes
+// no progress at all, or it is far over its estimate and far from its end. The
+// latter may be the task's own fault, so that it counts for a first run only.
 func (r *heldRun) stands(now time.Time) bool {
 	if r.began.IsZero() || !r.stopping.IsZero() || r.estimate <= 0 {
 		return false
@@ -69,9 +70,12 @@
 	if ran < max(standsFactor*r.estimate, r.estimate+standsFloor) {
 		return false
 	}
+	if now.Sub(later(r.began, r.progress.moved)) > max(r.estimate, standsFloor) {
+		return true
+	}
 	// At its pace so far the rest takes longer than a whole new run.
 	left := float64(ran) * (100 - r.progress.percent) / max(r.progress.percent, 1)
-	return left > float64(r.estimate)
+	return r.ref.Number == 1 && left > float64(r.estimate)
 }
 
 // usable reports whether the endpoint may get work, and whether it is tried
--- a/pool/history.go
+++ b/pool/history.go
@@ -29,15 +29,16 @@
 			if named > 0 {
 				b.WriteByte(',')
 			}
-			t.describe(&b)
+			t.describe(&b, j.arrived)
 			named++
 		}
 	}
 	return b.String()
 }
 
-// describe writes step.index#run@endpoint/holder, with a mark unless it is done.
-func (t *homeTask) describe(b *strings.Builder) {
+// describe writes step.index#run@endpoint/holder+start, with a mark unless it is
+// done. The start is the time from the job's arrival to that of the last run.
+func (t *homeTask) describe(b *strings.Builder, arrived time.Time) {
 	fmt.Fprintf(b, "%d.%d#%d", t.step, t.index, t.number)
 	if t.endpoint != "" {
 		b.WriteString("@" + t.endpoint)
@@ -45,6 +46,9 @@
 	if t.holder.ID != "" {
 		b.WriteString("/" + t.holder.ID)
 	}
+	if !t.started.IsZero() {
+		b.WriteString("+" + milliseconds(t.started.Sub(arrived)).String())
+	}
 	switch t.state {
 	case placed:
 		b.WriteString("(running)")
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -97,6 +97,8 @@
 		state    taskState
 		holder   instance.Ref
 		endpoint string
+		// started is when its last run began, as far as the home was told.
+		started time.Time
 		// notBefore is when its last run has surely ended.
 		notBefore time.Time
 	}
@@ -246,6 +248,7 @@
 	}
 	switch u.Status {
 	case run.Started:
+		t.started = now
 	case run.Uncertain:
 		t.notBefore = now.Add(m.lapseTime())
 	case run.Done:
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -90,6 +90,20 @@
 	is.Equal(c.answers[0].Kind, fault.NoEndpointFits)
 }
 
+// A task that runs many times longer than its estimate ends all the same: it is
+// tried elsewhere once, and left alone then.
+func TestLongRunEnds(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 1, 2, 4)
+	c := w.newJob(routine, 4*time.Second, step(1, 100*time.Millisecond))
+	c.run, c.tally = 2*time.Second, &tally{}
+	w.try(c, 0)
+	w.run(4 * time.Second)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+	is.True(w.watch.starts <= 2)
+}
+
 // A job that fits nowhere does not count in what tasks usually need.
 func TestTooLargeJobTeachesNothing(t *testing.T) {
 	is := is.New(t)
