--- a/pool/admission.go
+++ b/pool/admission.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -99,6 +100,11 @@
 	urgent float64
 }
 
+// String returns the load for a log line.
+func (l load) String() string {
+	return fmt.Sprintf("places=%d free=%d ahead=%d work=%s urgent=%.0f", l.places, l.free, l.tasks, milliseconds(l.work), l.urgent)
+}
+
 // load returns what goes before a job: waiting tasks of its priority or a more
 // urgent one, here and at the peers, and the more urgent ones that will come.
 func (m *Machine) load(now time.Time, j *homeJob) load {
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -122,7 +122,7 @@
 	}
 	h := m.newJob(now, call, j)
 	if refusal := m.admit(now, h); refusal != nil {
-		out.log(event.JobRefused, j.ID, refusal.Error())
+		out.log(event.JobRefused, j.ID, refusal.Error()+"; queue="+j.Queue.Name+" "+m.load(now, h).String())
 		out.Answers = append(out.Answers, Answer{Call: call, Fault: refusal})
 		return
 	}
