--- a/pool/history.go
+++ b/pool/history.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/fault"
 )
 
 // maxHistory bounds the tasks that a log line names.
@@ -59,3 +62,15 @@
 
 // milliseconds rounds a duration for a log line.
 func milliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// logAnswer writes how a job ended, and which runs it had.
+func (m *Machine) logAnswer(now time.Time, j *homeJob, f *fault.Error, out *Output) {
+	kind, reason := event.JobAnswered, "complete"
+	switch {
+	case f != nil && f.Kind.Row().NotRun:
+		kind, reason = event.JobRefused, f.Error()
+	case f != nil:
+		kind, reason = event.JobFailed, f.Error()
+	}
+	out.log(kind, j.ID, reason+"; "+j.history(now))
+}
