--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -122,7 +120,7 @@
 	}
 	h := m.newJob(now, call, j)
 	if refusal := m.admit(now, h); refusal != nil {
-		out.log(event.JobRefused, j.ID, refusal.Error())
+		out.log(event.JobRefused, j.ID, refusal.Error()+"; queue="+j.Queue.Name+" "+m.load(now, h).String())
 		out.Answers = append(out.Answers, Answer{Call: call, Fault: refusal})
 		return
 	}
@@ -305,131 +303,6 @@
 	out.Answers = append(out.Answers, Answer{Call: j.call, Fault: f})
 }
 
-// logAnswer writes how a job ended, and which runs it had.
-func (m *Machine) logAnswer(now time.Time, j *homeJob, f *fault.Error, out *Output) {
-	kind, reason := event.JobAnswered, "complete"
-	switch {
-	case f != nil && f.Kind.Row().NotRun:
-		kind, reason = event.JobRefused, f.Error()
-	case f != nil:
-		kind, reason = event.JobFailed, f.Error()
-	}
-	out.log(kind, j.ID, reason+"; "+j.history(now))
-}
-
-// abandon stops the run of a task whose job is over.
-func (m *Machine) abandon(now time.Time, t *homeTask, out *Output) {
-	ref := run.Ref{Task: t.name, Number: t.number}
-	g := ghost{job: t.job.ID, number: t.number, holder: t.holder}
-	if !t.notBefore.IsZero() || !m.reaches(t.holder) {
-		g.until = later(t.notBefore, now.Add(m.lapseTime()))
-	}
-	m.ghosts[t.name] = g
-	if t.holder == m.cfg.Self.Ref {
-		m.unwant(now, ref, out)
-		return
-	}
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: t.holder, Body: message.StopRun{Run: ref}})
-}
-
-// unwant stops a run on one of the endpoints that are held here.
-func (m *Machine) unwant(now time.Time, ref run.Ref, out *Output) {
-	for _, h := range m.ordered {
-		if r := h.runs[ref]; r != nil {
-			r.unwanted = true
-			m.stop(now, h, r, out)
-			return
-		}
-	}
-}
-
-// exorcise takes in what became of a run whose job was answered before.
-func (m *Machine) exorcise(now time.Time, u message.RunUpdate) {
-	g, ok := m.ghosts[u.Run.Task]
-	switch {
-	case !ok || g.number != u.Run.Number:
-	case u.Status.Final():
-		m.dropGhost(u.Run.Task, g)
-	case u.Status == run.Uncertain:
-		g.until = now.Add(m.lapseTime())
-		m.ghosts[u.Run.Task] = g
-	}
-}
-
-// dropGhost forgets a run that is over. A job that waited for it may begin.
-func (m *Machine) dropGhost(name string, g ghost) {
-	delete(m.ghosts, name)
-	if j := m.parked[g.job]; j != nil && !m.haunted(g.job) {
-		delete(m.parked, g.job)
-		m.release(j)
-	}
-}
-
-// expireGhosts forgets the runs that have surely ended though nobody told.
-func (m *Machine) expireGhosts(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(m.ghosts)) {
-		if g := m.ghosts[name]; !g.until.IsZero() && !now.Before(g.until) {
-			m.dropGhost(name, g)
-		}
-	}
-}
-
-// reaches reports whether the instance is this one or a peer.
-func (m *Machine) reaches(ref instance.Ref) bool {
-	_, ok := m.peers[ref]
-	return ok || ref == m.cfg.Self.Ref
-}
-
-// haunted reports whether runs of an earlier request for the job are left.
-func (m *Machine) haunted(id string) bool {
-	for _, g := range m.ghosts {
-		if g.job == id {
-			return true
-		}
-	}
-	return false
-}
-
-// expireJobs answers the jobs whose time is over.
-func (m *Machine) expireJobs(now time.Time, out *Output) {
-	var over []*homeJob
-	for _, j := range m.jobs {
-		if !now.Before(j.Deadline.Add(-answerMargin)) || !j.maybeRan() && now.After(j.late) {
-			over = append(over, j)
-		}
-	}
-	sortJobs(over)
-	for _, j := range over {
-		m.end(now, j, m.expired(now, j), out)
-	}
-}
-
-// deferJobs lets the jobs go first that can still meet their goal: one that has
-// missed its goal without a start waits behind them, or is refused if it would
-// come too late to be of use.
-func (m *Machine) deferJobs(now time.Time, out *Output) {
-	for _, j := range slices.Clone(m.queue) {
-		if j.deferred || !now.After(j.startBy) || j.maybeRan() {
-			continue
-		}
-		m.dequeue(j)
-		j.deferred = true
-		j.startBy = j.late.Add(-longestChain(j.Steps))
-		m.enqueue(j)
-		if f := m.refusal(now, j); f != nil {
-			m.end(now, j, f, out)
-		}
-	}
-}
-
-// expired returns the answer to a job whose time is over.
-func (m *Machine) expired(now time.Time, j *homeJob) *fault.Error {
-	if j.maybeRan() {
-		return fault.New(fault.DeadlineExceeded, "%d tasks had not ended after %s", j.undone, now.Sub(j.arrived))
-	}
-	return fault.New(fault.DeadlineTooNear, "no place was free for %s", now.Sub(j.arrived)).WithRetryAfter(m.retryAfter(j))
-}
-
 // maybeRan reports whether a run of the job may have begun.
 func (j *homeJob) maybeRan() bool {
 	if j.ran {
