--- a/pool/machine.go
+++ b/pool/machine.go
@@ -200,6 +200,7 @@
 	m.deferJobs(now, out)
 	m.expireOffers(now)
 	m.expireGhosts(now)
+	m.expireTold(now)
 	m.unsettled = true
 	for _, h := range m.ordered {
 		m.tend(now, h, out)
--- a/pool/reconcile.go
+++ b/pool/reconcile.go
@@ -31,6 +31,15 @@
 	m.told[r.home] = append(list, toldEnd{now, r.ref, status, endpoint})
 }
 
+// expireTold forgets the ends that no home can ask for any more.
+func (m *Machine) expireTold(now time.Time) {
+	for home, list := range m.told {
+		if now.Sub(list[len(list)-1].at) > toldTime {
+			delete(m.told, home)
+		}
+	}
+}
+
 // reconcile tells a holder that has come back which runs are waited for there.
 func (m *Machine) reconcile(holder instance.Ref, out *Output) {
 	var runs []run.Ref
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -98,7 +98,7 @@
 		list.StoreBack(now)
 		cursor = change.Cursor
 		if r.applyEndpoints(now, list, change) {
-			r.useEndpoints(list.Infos())
+			r.useStoreEndpoints(list.Infos())
 		}
 		r.pause(endpointsPeriod)
 	}
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -9,6 +9,14 @@
 	"github.com/lovagecrank/lovagecrank/pool"
 )
 
+// useStoreEndpoints brings the store's list of endpoints into use.
+func (r *Runner) useStoreEndpoints(infos []endpoint.Info) {
+	r.useMu.Lock()
+	defer r.useMu.Unlock()
+	r.storeRead = true
+	r.useEndpoints(infos)
+}
+
 // useEndpoints brings a list of endpoints into use.
 func (r *Runner) useEndpoints(infos []endpoint.Info) {
 	listed := make([]message.ListedEndpoint, 0, len(infos))
@@ -44,7 +52,9 @@
 // instance that starts while the store is away can serve by them. It finds its
 // peers because they go on calling it for a while.
 func (r *Runner) learnLists(l message.Lists) {
-	if len(r.ownLists().Endpoints) > 0 {
+	r.useMu.Lock()
+	defer r.useMu.Unlock()
+	if r.storeRead {
 		return
 	}
 	var instances []instance.Info
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -116,6 +116,11 @@
 		// lists are the platform's lists as they are in use.
 		lists message.Lists
 
+		// useMu keeps the order in which lists come into use.
+		useMu sync.Mutex
+		// storeRead tells that the endpoints are the store's own word.
+		storeRead bool
+
 		mu       sync.Mutex
 		machine  *pool.Machine
 		out      pool.Output
