--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -12,8 +12,12 @@
 	"github.com/lovagecrank/lovagecrank/run"
 )
 
-// histories is how many random histories TestFailuresTogether plays.
-var histories = flag.Int("histories", 60, "how many random histories to play")
+var (
+	// histories is how many random histories TestFailuresTogether plays, and
+	// firstHistory the seed of the first.
+	histories    = flag.Int("histories", 60, "how many random histories to play")
+	firstHistory = flag.Uint64("first-history", 1, "the seed of the first random history")
+)
 
 // trouble is one kind of failure. It strikes at a random place.
 type trouble struct {
@@ -229,7 +233,7 @@
 
 // Failures of all kinds strike together and twice.
 func TestFailuresTogether(t *testing.T) {
-	for seed := uint64(1); seed <= uint64(*histories); seed++ {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := settled(t, seed, 4, 10)
 			w.traffic(10 * time.Second)
