--- a/pool/place.go
+++ b/pool/place.go
@@ -10,8 +10,16 @@
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
-// usualWeight is the weight of a new job in the usual needs of a service.
-const usualWeight = 0.02
+const (
+	// usualWeight is the weight of a new job in the usual needs of a service.
+	usualWeight = 0.02
+	// loadWeight makes the load decide between endpoints of about the same
+	// pace, as the learnt pace is off by about that much.
+	loadWeight = 0.05
+	// otherRack is how many times longer a task takes away from its data; the
+	// platform's sites say two to three.
+	otherRack = 3
+)
 
 // place gives free places to the most urgent tasks, whether they wait here or
 // at a peer.
@@ -189,7 +197,7 @@
 		pace = 1
 	}
 	if s.Rack != "" && h.info.Rack != s.Rack {
-		pace *= 3 // data of another rack costs several times the run
+		pace *= otherRack
 	}
 	load := 0.0
 	if h.info.Size.Cores > 0 {
@@ -198,10 +206,6 @@
 	return pace + loadWeight*load
 }
 
-// loadWeight makes the load decide between endpoints of about the same pace,
-// as the learnt pace is off by about that much.
-const loadWeight = 0.05
-
 // places returns how many tasks of the usual size the endpoint can run in all
 // and how many more now.
 func (h *held) places(now time.Time, usual task.Needs) (all, free int) {
