Send, find and stop in one place each; drop what nothing reads

Ruled out: joining the wire types of platform/ with those of store/ (another protocol), and pool.Output with submission's (other actions).

--- a/pool/ghosts.go
+++ b/pool/ghosts.go
@@ -22,18 +22,24 @@
 		m.unwant(now, ref, out)
 		return
 	}
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: t.holder, Body: message.StopRun{Run: ref}})
+	m.send(t.holder, message.StopRun{Run: ref}, out)
 }
 
 // unwant stops a run on one of the endpoints that are held here.
 func (m *Machine) unwant(now time.Time, ref run.Ref, out *Output) {
+	if h, r := m.find(ref); r != nil {
+		m.stopUnwanted(now, h, r, out)
+	}
+}
+
+// find returns a run on one of the endpoints that are held here, or nil.
+func (m *Machine) find(ref run.Ref) (*held, *heldRun) {
 	for _, h := range m.ordered {
 		if r := h.runs[ref]; r != nil {
-			r.unwanted = true
-			m.stop(now, h, r, out)
-			return
+			return h, r
 		}
 	}
+	return nil, nil
 }
 
 // exorcise takes in what became of a run whose job was answered before.
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -225,12 +225,13 @@
 		if !m.gathered(now, h) {
 			continue
 		}
-		mine := m.owner(h) == m.cfg.Self.Ref
+		owner := m.owner(h)
+		mine := owner == m.cfg.Self.Ref
 		switch {
 		case !h.held() && mine && m.mayClaim(now, h):
 			m.claim(now, h, out)
 		case h.held():
-			h.releasing = !mine && m.owner(h) != (instance.Ref{})
+			h.releasing = !mine && owner != (instance.Ref{})
 			if h.releasing && h.quiet() {
 				h.drop()
 				m.standing.urgent = true
--- a/pool/place.go
+++ b/pool/place.go
@@ -94,7 +94,7 @@
 func (m *Machine) placeAt(t *homeTask, p *peer, s message.StartRun, out *Output) {
 	nextRun(t, &s)
 	t.holder = p.info.Ref
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: p.info.Ref, Body: s})
+	m.send(p.info.Ref, s, out)
 }
 
 // nextRun gives the task's next run its number.
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
 )
@@ -73,9 +72,9 @@
 		h = m.pick(now, s)
 	}
 	if h == nil {
-		out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: p.info.Ref, Body: message.RunUpdate{
+		m.send(p.info.Ref, message.RunUpdate{
 			Run: s.Run, Status: run.NotRun,
-		}})
+		}, out)
 		return
 	}
 	m.begin(now, h, p.info.Ref, s, out)
@@ -102,7 +101,7 @@
 			return
 		}
 	}
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: p.info.Ref, Body: message.Decline{Number: o.Number}})
+	m.send(p.info.Ref, message.Decline{Number: o.Number}, out)
 }
 
 // Unsent takes in messages that never left: the runs that they ask for never
@@ -115,12 +114,3 @@
 	}
 	m.settle(now, out)
 }
-
-// Peers returns the instances with which a stream is open.
-func (m *Machine) Peers() []instance.Info {
-	list := make([]instance.Info, 0, len(m.nearPeers))
-	for _, p := range m.nearPeers {
-		list = append(list, p.info)
-	}
-	return list
-}
--- a/pool/reconcile.go
+++ b/pool/reconcile.go
@@ -52,7 +52,7 @@
 			}
 		}
 	}
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: holder, Body: message.Runs{Runs: runs}})
+	m.send(holder, message.Runs{Runs: runs}, out)
 }
 
 // compareRuns stops the runs that their home does not wait for any more, and
@@ -62,13 +62,12 @@
 	for _, h := range m.ordered {
 		for _, r := range h.sorted() {
 			if r.home == home && !slices.Contains(b.Runs, r.ref) {
-				r.unwanted = true
-				m.stop(now, h, r, out)
+				m.stopUnwanted(now, h, r, out)
 			}
 		}
 	}
 	for _, ref := range b.Runs {
-		if m.runs(ref) {
+		if _, r := m.find(ref); r != nil {
 			continue
 		}
 		u := message.RunUpdate{Run: ref, Status: run.Uncertain}
@@ -80,16 +79,6 @@
 				u.Status, u.Endpoint = e.status, e.endpoint
 			}
 		}
-		out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: home, Body: u})
+		m.send(home, u, out)
 	}
 }
-
-// runs reports whether the run is on an endpoint that is held here.
-func (m *Machine) runs(ref run.Ref) bool {
-	for _, h := range m.ordered {
-		if h.runs[ref] != nil {
-			return true
-		}
-	}
-	return false
-}
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -178,17 +178,22 @@
 	if _, ok := m.peers[r.home]; !ok {
 		return
 	}
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: r.home, Body: message.RunUpdate{
+	m.send(r.home, message.RunUpdate{
 		Run: r.ref, Status: status, Endpoint: h.info.ID, Free: m.freePlaces(now, h.info.Service),
-	}})
+	}, out)
+}
+
+// stopUnwanted stops a run that its home does not wait for any more.
+func (m *Machine) stopUnwanted(now time.Time, h *held, r *heldRun, out *Output) {
+	r.unwanted = true
+	m.stop(now, h, r, out)
 }
 
 // stopRunsOf stops the runs whose home is gone.
 func (m *Machine) stopRunsOf(now time.Time, h *held, home instance.Ref, out *Output) {
 	for _, r := range h.sorted() {
 		if r.home == home {
-			r.unwanted = true
-			m.stop(now, h, r, out)
+			m.stopUnwanted(now, h, r, out)
 		}
 	}
 }
--- a/pool/share.go
+++ b/pool/share.go
@@ -45,6 +45,11 @@
 	}
 )
 
+// send sends a message to a peer.
+func (m *Machine) send(to instance.Ref, body message.Body, out *Output) {
+	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: to, Body: body})
+}
+
 // room returns what the peer told of a service, or nil.
 func (p *peer) room(service string) *message.Room {
 	for i := range p.told.Rooms {
@@ -136,9 +141,9 @@
 	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, endpoint: h, needs: needs, until: now.Add(offerTime)}
 	h.used = sum(h.used, needs, 1)
 	h.reserved++
-	out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: p.info.Ref, Body: message.Offer{
+	m.send(p.info.Ref, message.Offer{
 		Number: m.lastOffer, Service: service, Needs: needs,
-	}})
+	}, out)
 }
 
 // withdraw ends the reservation of an offer and returns its endpoint.
@@ -183,7 +188,7 @@
 	s := m.ownStanding(now)
 	for _, ref := range m.standing.newcomers {
 		if _, ok := m.peers[ref]; ok {
-			out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: ref, Body: s})
+			m.send(ref, s, out)
 		}
 	}
 	m.standing.newcomers = nil
@@ -197,7 +202,7 @@
 	}
 	m.standing.last, m.standing.at, m.standing.urgent = s, now, false
 	for _, p := range m.nearPeers {
-		out.Messages = append(out.Messages, message.Message{From: m.cfg.Self.Ref, To: p.info.Ref, Body: s})
+		m.send(p.info.Ref, s, out)
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -30,11 +30,6 @@
 		LeaseTime, StopTime time.Duration
 		// GraceTime is how long after the signal to stop the process may run.
 		GraceTime time.Duration
-		// Memory is what the process may use, in bytes; zero means any.
-		Memory int64
-		// Reads and Writes are the store's rates a second for all instances
-		// together.
-		Reads, Writes float64
 	}
 
 	// Endpoints carries out orders. Each call returns one reply.
