Metrics of joined instances are rows of the catalogue, with outcome and reason

Cause: the metrics that package runner made itself were in no page and had no outcome; the store's state, runs and jobs could be seen in the log only. Change: metric.Joined serves them from the table that docs/METRICS.md is derived from; each kind of fault appears under its code (test over all kinds). A tool or dashboard that reads reason="complete" reads outcome="complete" now. The codes that the page named for late and refused orders are LC2061 to LC2063.

--- a/fault/table.go
+++ b/fault/table.go
@@ -125,3 +125,12 @@
 	}
 	return entries
 }
+
+// Kinds returns all kinds in the order of their codes.
+func Kinds() []Kind {
+	list := make([]Kind, 0, kinds)
+	for k := range kinds {
+		list = append(list, k)
+	}
+	return list
+}
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/storage"
 )
 
@@ -49,10 +50,48 @@
 	return w.Body.String()
 }
 
+// scrapeJoined is the same for an instance on the platform.
+func scrapeJoined(t *testing.T) string {
+	j := NewJoined(func() JoinedSnapshot {
+		return JoinedSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4}}
+	})
+	j.Answer("q", nil, time.Millisecond)
+	for _, k := range fault.Kinds() {
+		j.Answer("q", fault.New(k, ""), time.Millisecond)
+	}
+	j.Order("start", "accepted")
+	j.Event(event.Record{Kind: event.Started})
+	w := httptest.NewRecorder()
+	j.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	is.New(t).Equal(w.Code, 200)
+	return w.Body.String()
+}
+
+// Each reason of a refusal or failure has its code in the metrics.
+func TestAnswersByReason(t *testing.T) {
+	page := scrapeJoined(t)
+	for _, line := range []string{
+		`lovagecrank_answer_seconds_count{outcome="complete",queue="q",reason=""} 1`,
+		`lovagecrank_open_jobs 2`,
+		`lovagecrank_held_runs 3`,
+		`lovagecrank_endpoints{state="open"} 4`,
+		`lovagecrank_orders_total{order="start",verdict="accepted"} 1`,
+	} {
+		if !strings.Contains(page, line+"\n") {
+			t.Errorf("page lacks %s", line)
+		}
+	}
+	for _, k := range fault.Kinds() {
+		if !strings.Contains(page, `reason="`+k.Row().Code+`"} 1`) {
+			t.Errorf("page lacks reason %s", k.Row().Code)
+		}
+	}
+}
+
 // Every row of the table is served, and nothing of ours is served that has no
 // row.
 func TestTableAndPageAgree(t *testing.T) {
-	page := scrape(t)
+	page := scrape(t) + scrapeJoined(t)
 	served := map[string]string{}
 	for _, m := range regexp.MustCompile(`(?m)^# TYPE (lovagecrank_\w+) (\w+)$`).FindAllStringSubmatch(page, -1) {
 		served[m[1]] = m[2]
--- a/metric/table.go
+++ b/metric/table.go
@@ -31,6 +31,10 @@
 	events
 	peerMessages
 	peerBytes
+	answerSeconds
+	orders
+	openJobs
+	heldRuns
 	ids
 )
 
@@ -92,4 +96,8 @@
 	events:               {"lovagecrank_events_total", counter, "events", []string{"code"}, "Log events by code.", "See docs/EVENTS.md for each code."},
 	peerMessages:         {"lovagecrank_peer_messages_total", counter, "messages", []string{"direction"}, "Messages to and from other instances: sent or received.", nothing},
 	peerBytes:            {"lovagecrank_peer_bytes_total", counter, "bytes", []string{"direction"}, "Bytes of these messages before framing.", "Control is meant to stay below 19 KB a second; forwarded jobs come on top."},
+	answerSeconds:        {"lovagecrank_answer_seconds", histogram, "seconds", []string{"queue", "outcome", "reason"}, "On the platform: time from a job's arrival to its answer by queue, outcome (complete, not_run, failed or cancelled) and the code of the reason.", "Look the code up with lovagecrank explain; docs/OPERATIONS.md leads from a job to its cause."},
+	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look) and what became of them.", "If unanswered or fenced rise, see events LC2061 to LC2063 in the log."},
+	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs that callers wait for here.", nothing},
+	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", nothing},
 }
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -82,22 +82,20 @@
 // followEndpoints keeps the list of endpoints.
 func (r *Runner) followEndpoints() {
 	list := endpoint.NewListing()
-	cursor, lost := uint64(0), false
+	cursor := uint64(0)
 	for r.ctx.Err() == nil {
 		change, err := r.Store.Endpoints(r.ctx, cursor)
 		now := time.Now()
 		if err != nil {
 			list.StoreLost()
-			if !lost && r.ctx.Err() == nil {
+			if r.ctx.Err() == nil && !r.storeLost.Swap(true) {
 				r.Record(now, event.Record{Kind: event.StoreDown, Subject: "store", Detail: err.Error()})
 			}
-			lost = true
 			r.pause(storePause)
 			continue
 		}
-		if lost {
+		if r.storeLost.Swap(false) {
 			r.Record(now, event.Record{Kind: event.StoreUp, Subject: "store"})
-			lost = false
 		}
 		list.StoreBack(now)
 		cursor = change.Cursor
--- a/runner/run.go
+++ b/runner/run.go
@@ -114,7 +114,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return []*http.Server{serve(r.Handler(r)), serve(readiness), serve(r.metrics.handler())}
+	return []*http.Server{serve(r.Handler(r)), serve(readiness), serve(r.metrics.Handler())}
 }
 
 // ready reports whether the balancer should send new connections.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/metric"
 	"github.com/lovagecrank/lovagecrank/peer"
 	"github.com/lovagecrank/lovagecrank/pool"
 	"github.com/lovagecrank/lovagecrank/route"
@@ -105,7 +106,9 @@
 		document atomic.Pointer[[]byte]
 		view     atomic.Pointer[pool.View]
 		stopping atomic.Bool
-		metrics  *metrics
+		metrics  *metric.Joined
+		// storeLost tells that the store does not answer.
+		storeLost atomic.Bool
 
 		listsMu sync.Mutex
 		// lists are the platform's lists as they are in use.
@@ -138,11 +141,15 @@
 		Options: o,
 		ctx:     context.Background(),
 		sooner:  make(chan struct{}, 1),
-		metrics: newMetrics(),
 		machine: pool.New(now, pool.Config{Self: cfg.Self, LeaseTime: cfg.LeaseTime, StopTime: cfg.StopTime}),
 		calls:   map[uint64]chan *fault.Error{},
 	}
 	r.view.Store(&pool.View{})
+	r.metrics = metric.NewJoined(r.snapshot)
+	r.Record = func(now time.Time, e event.Record) {
+		r.metrics.Event(e)
+		o.Record(now, e)
+	}
 	r.peers = peer.New(peer.Config{
 		Self:    cfg.Self,
 		Handler: peerInputs{r},
@@ -177,7 +184,7 @@
 	})
 	select {
 	case f = <-answer:
-		r.metrics.answered(j.Queue.Name, f, time.Since(begun))
+		r.metrics.Answer(j.Queue.Name, f, time.Since(begun))
 		return f, true
 	case <-ctx.Done():
 	}
@@ -241,19 +248,19 @@
 
 func (r *Runner) start(s pool.Start) {
 	reply := r.Endpoints.Start(r.ctx, s)
-	r.metrics.ordered("start", reply.Verdict)
+	r.metrics.Order("start", reply.Verdict.String())
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.StartReplied(now, reply, out) })
 }
 
 func (r *Runner) stop(s pool.Stop) {
 	reply := r.Endpoints.Stop(r.ctx, s)
-	r.metrics.ordered("stop", reply.Verdict)
+	r.metrics.Order("stop", reply.Verdict.String())
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.StopReplied(now, reply, out) })
 }
 
 func (r *Runner) look(l pool.Look) {
 	reply := r.Endpoints.Look(r.ctx, l)
-	r.metrics.ordered("look", reply.Verdict)
+	r.metrics.Order("look", reply.Verdict.String())
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.LookReplied(now, reply, out) })
 }
 
