Count the urgent load of those instances only whose places are counted

Cause: the load that a job finds ahead counted the places of the instances that tell of them (16 at most), and the urgent jobs of all that are connected. Change: both count the same instances.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -91,7 +91,7 @@
 
 // load is what a job finds ahead of it.
 type load struct {
-	// places and free are those of all instances that can be reached.
+	// places and free are those of the instances that tell of them here.
 	places, free int
 	// tasks wait ahead of the job, of that much work.
 	tasks int
@@ -120,11 +120,13 @@
 			l.work += q.Steps[t.step].Estimate
 		}
 	}
+	known := 1
 	for _, p := range m.nearPeers {
 		r := p.room(service)
 		if r == nil {
 			continue
 		}
+		known++
 		l.places += r.Places
 		l.free += r.Free
 		if now.Sub(p.roomsAt) > freshTime {
@@ -138,7 +140,7 @@
 		l.free = max(l.free, l.places)
 	}
 	l.work += workOf(j.Job)
-	l.urgent = m.arrivals.before(now, service, j.Queue.Priority) * float64(len(m.peers)+1)
+	l.urgent = m.arrivals.before(now, service, j.Queue.Priority) * float64(known)
 	return l
 }
 
--- a/pool/size_test.go
+++ b/pool/size_test.go
@@ -24,3 +24,24 @@
 		t.Errorf("with 48 instances each sends %.0f messages a second, with 8 only %.0f", many, few)
 	}
 }
+
+// TestUrgentLoadOfManyInstances holds what a job is told of the more urgent ones
+// that come: they must be those of the instances whose places it counts. It is
+// the pattern of a deployment whose instances know the places of some others
+// only: lower classes were refused while a third of all places was free.
+func TestUrgentLoadOfManyInstances(t *testing.T) {
+	for _, nodes := range []int{4, 48} {
+		w := settled(t, 1, nodes, 8*nodes)
+		w.sheet(3*time.Second, 0.6)
+		w.run(3 * time.Second)
+		share := 0.0
+		for _, n := range w.nodes {
+			l := n.machine.load(w.now, n.machine.newJob(w.now, 0, Job{Queue: routine, Steps: []Step{step(2, 200*time.Millisecond)}}))
+			share += l.urgent / float64(l.places) / float64(nodes)
+		}
+		t.Logf("%d instances: urgent jobs keep %.2f of the places busy", nodes, share)
+		if share > 0.25 { // an eighth by the mix
+			t.Errorf("%d instances: urgent jobs are taken to keep %.2f of the places busy", nodes, share)
+		}
+	}
+}
