Play failures against real processes; a moved address is no new boot

An instance had started while the store was away and had a peer's address of the worker; when the store was back with another one, the holder took that for a new boot and its runs for ended. Ruled out: a lease that had lapsed (446 ms after the first start), late orders (over at that time). Change: only a later boot ends runs. An address that changes without word of the boot makes them uncertain until their lease is over; an entry of an earlier boot changes no address. pool.TestMovedEndpointRunsOn failed in both cases before.

--- a/pool/look.go
+++ b/pool/look.go
@@ -220,6 +220,12 @@
 	}
 	h.claimAfter = now.Add(min(fencedPause<<min(h.fences, 8), longestFencedPause))
 	h.fences++
+	m.doubtEndpoint(now, h, out)
+}
+
+// doubtEndpoint gives an endpoint up whose runs may go on until their lease has
+// ended.
+func (m *Machine) doubtEndpoint(now time.Time, h *held, out *Output) {
 	for _, r := range h.sorted() {
 		m.report(now, h, r, run.Uncertain, out)
 	}
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -151,10 +151,16 @@
 	if info.Leaving && !h.info.Leaving {
 		out.log(event.EndpointLeaving, info.ID, "the platform's list says so")
 	}
+	if bornAfter(h.info.Born, info.Born) {
+		info.Address = h.info.Address // the entry is that of an earlier boot
+	}
+	reborn := bornAfter(info.Born, h.info.Born)
 	moved := info.Address != h.info.Address
-	reborn := moved || !info.Born.IsZero() && !h.info.Born.IsZero() && info.Born.After(h.info.Born)
-	if moved || reborn && len(h.runs) == 0 {
+	switch {
+	case reborn && (moved || len(h.runs) == 0):
 		m.reborn(now, h, out)
+	case moved && !reborn && (info.Born.IsZero() || h.info.Born.IsZero()):
+		m.doubtEndpoint(now, h, out)
 	}
 	said := h.saidLeaving && !reborn
 	born := h.info.Born
@@ -165,6 +171,9 @@
 	h.info.Leaving = h.info.Leaving || said
 }
 
+// bornAfter reports whether one boot is surely later than another.
+func bornAfter(a, b time.Time) bool { return !a.IsZero() && !b.IsZero() && a.After(b) }
+
 func compareIDs(a, b *held) int { return cmp.Compare(a.info.ID, b.info.ID) }
 
 // forgetUnlisted drops the endpoints that the list lacks and that run nothing.
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -1,11 +1,13 @@
 package pool
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/route"
 	"github.com/lovagecrank/lovagecrank/run"
@@ -174,3 +176,37 @@
 	is.Equal(len(c.answers), 1)
 	is.True(c.answers[0] == nil)
 }
+
+// An address that changes is no proof that the endpoint has started anew: an
+// instance that learnt the list from a peer while the store was away may get
+// another one from the store. (Found by platform/soak, seed 24.)
+func TestMovedEndpointRunsOn(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(e *fakeEndpoint, i *endpoint.Info)
+		again  bool
+	}{
+		{"the same boot", func(e *fakeEndpoint, i *endpoint.Info) { i.Born = e.born }, false},
+		{"the boot is not told", func(_ *fakeEndpoint, i *endpoint.Info) { i.Born = time.Time{} }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := settled(t, 1, 2, 6)
+			c := w.submit(0, &longQueue, 8*time.Second, step(9, 600*time.Millisecond))
+			w.run(200 * time.Millisecond)
+			for _, n := range w.nodes {
+				list := w.listing()
+				for i := range 2 { // one of each data centre
+					list[i].Address = netip.MustParseAddrPort("10.0.0.2:2")
+					tt.change(w.endpoints[i], &list[i])
+				}
+				w.input(n, func(m *Machine, out *Output) { m.SetEndpoints(w.now, list, out) })
+			}
+			w.run(6 * time.Second)
+			is.Equal(len(c.answers), 1)
+			is.True(c.answers[0] == nil)
+			is.Equal(w.watch.starts > 9, tt.again) // the observer sees a second start that is too early
+		})
+	}
+}
