Tell the home of a run's start only where it waits for that

Cause: each task placed at a peer cost three messages (start, began, ended). Change: the end tells when the run began; only steps that are spread over endpoints ask for the start. What a home knows of a run on a holder that is lost is the holder, not the endpoint any more.

--- a/message/pool.go
+++ b/message/pool.go
@@ -68,6 +68,9 @@
 		Rack string
 		// Avoid are endpoints that must not be used.
 		Avoid []string
+		// TellStart asks for an update when the run has begun; other runs are
+		// told of when they end.
+		TellStart bool
 		// Offer is the number of the offer that is taken up; zero if none.
 		Offer uint64
 	}
@@ -92,6 +95,8 @@
 		Endpoint string
 		// Free is how many more tasks of the usual size fit at the holder.
 		Free int
+		// Ran is how long ago the run began; zero if that is not known.
+		Ran time.Duration
 	}
 
 	// Offer reserves a place for the receiver.
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -68,11 +68,11 @@
 		}}},
 		message.StartRun{
 			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: needs, Estimate: time.Second,
-			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7,
+			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7, TellStart: true,
 		},
 		message.Runs{Runs: []run.Ref{{Task: "t", Number: 2}}},
 		message.StopRun{Run: run.Ref{Task: "t", Number: 2}},
-		message.RunUpdate{Run: run.Ref{Task: "t", Number: 2}, Status: run.Done, Endpoint: "w", Free: 3},
+		message.RunUpdate{Run: run.Ref{Task: "t", Number: 2}, Status: run.Done, Endpoint: "w", Free: 3, Ran: time.Second},
 		message.Offer{Number: 7, Service: "s", Needs: needs},
 		message.Decline{Number: 7},
 		message.Routes{Document: []byte("{}")},
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -77,7 +77,7 @@
 	if !status.Valid() {
 		return nil, errRange
 	}
-	return message.RunUpdate{Run: r, Status: status, Endpoint: w.GetEndpoint(), Free: int(w.GetFree())}, checkCount(w.GetFree())
+	return message.RunUpdate{Run: r, Status: status, Endpoint: w.GetEndpoint(), Free: int(w.GetFree()), Ran: decodeLength(w.GetRanNs())}, checkCount(w.GetFree())
 }
 
 func decodeStartRun(w *wire.StartRun) (message.Body, error) {
@@ -99,6 +99,8 @@
 		Rack:     w.GetRack(),
 		Avoid:    w.GetAvoid(),
 		Offer:    w.GetOffer(),
+
+		TellStart: w.GetTellStart(),
 	}, nil
 }
 
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -28,7 +28,7 @@
 		w.Body = &wire.Message_Runs{Runs: &wire.Runs{Runs: runs}}
 	case message.RunUpdate:
 		w.Body = &wire.Message_RunUpdate{RunUpdate: &wire.RunUpdate{
-			Run: encodeRun(b.Run), Status: uint32(b.Status), Endpoint: b.Endpoint, Free: int32(b.Free),
+			Run: encodeRun(b.Run), Status: uint32(b.Status), Endpoint: b.Endpoint, Free: int32(b.Free), RanNs: int64(b.Ran),
 		}}
 	case message.Offer:
 		w.Body = &wire.Message_Offer{Offer: &wire.Offer{Number: b.Number, Service: b.Service, Needs: encodeNeeds(b.Needs)}}
@@ -65,6 +65,7 @@
 		Rack:       b.Rack,
 		Avoid:      b.Avoid,
 		Offer:      b.Offer,
+		TellStart:  b.TellStart,
 	}
 }
 
--- a/pool/held.go
+++ b/pool/held.go
@@ -119,6 +119,8 @@
 		// peekGap what lay between the last two of them.
 		peekAt  time.Time
 		peekGap time.Duration
+		// tellStart tells that its home waits for the start.
+		tellStart bool
 		// unwanted tells that the home does not wait for the run any more.
 		unwanted bool
 		progress progress
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -240,6 +240,9 @@
 		return
 	}
 	t.endpoint = u.Endpoint
+	if u.Ran > 0 {
+		t.started = now.Add(-u.Ran)
+	}
 	j := t.job
 	if u.Status != run.NotRun {
 		j.ran = true
--- a/pool/place.go
+++ b/pool/place.go
@@ -119,6 +119,7 @@
 	}
 	if step.Spread > 0 {
 		s.Avoid = crowded(j.steps[t.step], step.Spread)
+		s.TellStart = true // others of the step wait for where it runs
 	}
 	return s
 }
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -12,7 +12,7 @@
 
 // begin orders a run on an endpoint where it fits.
 func (m *Machine) begin(now time.Time, h *held, home instance.Ref, s message.StartRun, out *Output) {
-	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, estimate: s.Estimate, sent: now}
+	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, estimate: s.Estimate, sent: now, tellStart: s.TellStart}
 	h.ask(now)
 	h.runs[s.Run] = r
 	h.used = sum(h.used, s.Needs, 1)
@@ -172,6 +172,9 @@
 		m.updated(now, message.RunUpdate{Run: r.ref, Status: status, Endpoint: h.info.ID}, out)
 		return
 	}
+	if status == run.Started && !r.tellStart {
+		return // a message less; the end tells it too
+	}
 	if status != run.Started {
 		m.remember(now, r, status, h.info.ID)
 	}
@@ -179,10 +182,18 @@
 		return
 	}
 	m.send(r.home, message.RunUpdate{
-		Run: r.ref, Status: status, Endpoint: h.info.ID, Free: m.freePlaces(now, h.info.Service),
+		Run: r.ref, Status: status, Endpoint: h.info.ID, Free: m.freePlaces(now, h.info.Service), Ran: r.ran(now),
 	}, out)
 }
 
+// ran returns how long ago the run began; zero if it has not.
+func (r *heldRun) ran(now time.Time) time.Duration {
+	if r.began.IsZero() {
+		return 0
+	}
+	return now.Sub(r.began)
+}
+
 // stopUnwanted stops a run that its home does not wait for any more.
 func (m *Machine) stopUnwanted(now time.Time, h *held, r *heldRun, out *Output) {
 	r.unwanted = true
