Weigh holders by the root of their cores

Cause: weighed by cores, the small machines held 5 of 88 endpoints each, with a third fewer places than the work that comes to them, so that most tasks ran at a peer.

--- a/pool/owner.go
+++ b/pool/owner.go
@@ -76,11 +76,12 @@
 func (p *peer) stays() bool { return p.introduced && !p.standing.Leaving }
 
 // ownerScore returns the score of an instance for an endpoint, of which the
-// lowest wins. It is drawn so that each instance wins in proportion to its
-// cores: a small machine can't serve as many endpoints as a large one.
+// lowest wins. It is drawn so that each instance wins in proportion to the root
+// of its cores: a small machine can't serve as many endpoints as a large one, but
+// as many jobs come to it, and a task that runs where its job is costs least.
 func ownerScore(endpoint string, i instance.Info) float64 {
 	drawn := (float64(xxhash.Sum64String(endpoint+"\x00"+i.ID)>>11) + 0.5) / (1 << 53)
-	return -math.Log(drawn) / i.Size()
+	return -math.Log(drawn) / math.Sqrt(i.Size())
 }
 
 // audience returns the peers that are told of vacancies. Each instance has
