--- a/pool/vacancies.go
+++ b/pool/vacancies.go
@@ -94,9 +94,9 @@
 	for _, r := range v.Rooms {
 		old := roomOf(m.vacancies.last, r.Service)
 		switch {
-		case (r.Free == 0) != (old.Free == 0), moreWaits(r.Waits, old.Waits):
+		case moreWaits(r.Waits, old.Waits):
 			return m.pace(tellSoon, soonShare)
-		case shifts(r.Free, old.Free), r.Places != old.Places, fewerWaits(r.Waits, old.Waits):
+		case (r.Free == 0) != (old.Free == 0), shifts(r.Free, old.Free), r.Places != old.Places, fewerWaits(r.Waits, old.Waits):
 			wait = m.pace(tellLater, laterShare)
 		case wait < 0 && (r.Free != old.Free || r.Largest != old.Largest):
 			wait = m.pace(tellSeldom, laterShare)
