--- a/instance/instance.go
+++ b/instance/instance.go
@@ -2,6 +2,9 @@
 
 import "net/netip"
 
+// usualCores is the size that counts for an instance that tells none.
+const usualCores = 1
+
 type (
 	// Ref names one incarnation of an entry instance. A restarted instance
 	// has the same ID and a higher Incarnation.
@@ -24,9 +27,6 @@
 	}
 )
 
-// usualCores is the size that counts for an instance that tells none.
-const usualCores = 1
-
 // Size returns how much of a processor the instance has, in cores.
 func (i Info) Size() float64 {
 	if i.Cores <= 0 {
--- a/metric/collector.go
+++ b/metric/collector.go
@@ -76,14 +76,8 @@
 // Collect implements [prometheus.Collector].
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	s, to := c.read(), sink(ch)
-	to.put(ready, oneIf(s.Ready))
-	to.put(configurationVersion, float64(s.ConfigurationVersion))
+	to.instance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	to.put(configurationStale, oneIf(s.ConfigurationStale))
-	to.put(storeReachable, oneIf(s.StoreReachable))
-	to.put(peersLive, float64(s.PeersLive))
-	for state, n := range s.EndpointStates {
-		to.put(endpoints, float64(n), state)
-	}
 	for _, class := range s.Classes {
 		to.class(class)
 	}
@@ -95,6 +89,17 @@
 	to.peers(s.Peers)
 }
 
+// instance adds what every kind of instance tells of itself.
+func (to sink) instance(isReady bool, version uint64, storeAnswers bool, peers int, endpointStates map[string]int) {
+	to.put(ready, oneIf(isReady))
+	to.put(configurationVersion, float64(version))
+	to.put(storeReachable, oneIf(storeAnswers))
+	to.put(peersLive, float64(peers))
+	for state, n := range endpointStates {
+		to.put(endpoints, float64(n), state)
+	}
+}
+
 func (to sink) class(c Class) {
 	to.put(classTarget, c.Target.Seconds(), c.Name)
 	to.put(classWaiting, float64(c.Waiting), c.Name)
--- a/metric/joined.go
+++ b/metric/joined.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/lovagecrank/lovagecrank/event"
@@ -52,17 +51,11 @@
 // each scrape.
 func NewJoined(snapshot func() JoinedSnapshot) *Joined {
 	j := &Joined{
-		registry: prometheus.NewRegistry(),
-		answers:  histogramVec(answerSeconds),
-		orders:   counterVec(orders),
-		events:   counterVec(events),
+		answers: histogramVec(answerSeconds),
+		orders:  counterVec(orders),
+		events:  counterVec(events),
 	}
-	j.registry.MustRegister(
-		j.answers, j.orders, j.events,
-		&joinedCollector{read: snapshot},
-		collectors.NewGoCollector(),
-		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-	)
+	j.registry = newRegistry(j.answers, j.orders, j.events, &joinedCollector{read: snapshot})
 	return j
 }
 
@@ -104,13 +97,7 @@
 // Collect implements [prometheus.Collector].
 func (c *joinedCollector) Collect(ch chan<- prometheus.Metric) {
 	s, to := c.read(), sink(ch)
-	to.put(ready, oneIf(s.Ready))
-	to.put(configurationVersion, float64(s.ConfigurationVersion))
-	to.put(storeReachable, oneIf(s.StoreReachable))
-	to.put(peersLive, float64(s.PeersLive))
+	to.instance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	to.put(openJobs, float64(s.Jobs))
 	to.put(heldRuns, float64(s.Runs))
-	for state, n := range s.EndpointStates {
-		to.put(endpoints, float64(n), state)
-	}
 }
--- a/metric/set.go
+++ b/metric/set.go
@@ -39,7 +39,6 @@
 // New returns the metrics of an instance. The snapshot is read at each scrape.
 func New(snapshot func() Snapshot) *Set {
 	s := &Set{
-		registry:     prometheus.NewRegistry(),
 		replies:      counterVec(replies),
 		replySeconds: histogramVec(replySeconds),
 		events:       counterVec(events),
@@ -52,15 +51,19 @@
 		s.storeCalls[i] = calls.WithLabelValues(name)
 	}
 	s.storeSeconds = seconds.WithLabelValues()
-	s.registry.MustRegister(
-		s.replies, s.replySeconds, s.events, starts, calls, seconds,
-		&collector{read: snapshot},
-		collectors.NewGoCollector(),
-		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-	)
+	s.registry = newRegistry(s.replies, s.replySeconds, s.events, starts, calls, seconds, &collector{read: snapshot})
 	return s
 }
 
+// newRegistry returns a registry of the collectors and of those of the Go
+// runtime and the process.
+func newRegistry(list ...prometheus.Collector) *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(list...)
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
 // Handler serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -36,25 +36,33 @@
 )
 
 // admit returns why a job is refused as not run, or nil.
-func (m *Machine) admit(now time.Time, j *homeJob) *fault.Error {
-	f := m.refusal(now, j)
+func (m *Machine) admit(now time.Time, j *homeJob) (*fault.Error, load) {
+	f, l := m.refusal(now, j)
 	if f == nil {
 		m.arrivals.add(now, j.Queue.Service, j.Queue.Priority, workOf(j.Job))
 	}
-	return f
+	return f, l
 }
 
-// refusal returns why a job that has not begun can't be served in time, or
-// nil.
-func (m *Machine) refusal(now time.Time, j *homeJob) *fault.Error {
-	if !m.everFits(j.Job) {
-		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service)
+// refusal returns why a job that has not begun can't be served in time, or nil,
+// and the load that it finds.
+func (m *Machine) refusal(now time.Time, j *homeJob) (*fault.Error, load) {
+	ever := m.everFits(j.Job)
+	if ever {
+		m.learnNeeds(j)
 	}
-	m.learnNeeds(j)
+	l := m.load(now, j)
+	if !ever {
+		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service), l
+	}
+	return m.refusalAt(now, j, l), l
+}
+
+// refusalAt is the same for a job that fits, at a known load.
+func (m *Machine) refusalAt(now time.Time, j *homeJob, l load) *fault.Error {
 	if m.leaving && now.Add(stopFactor*longestChain(j.Steps)+answerMargin).After(m.endsAt) {
 		return fault.New(fault.Stopping, "the process ends in %s", m.endsAt.Sub(now)).WithRetryAfter(m.retryAfter(j))
 	}
-	l := m.load(now, j)
 	if l.places == 0 {
 		return fault.New(fault.EndpointsUnavailable, "no endpoint of service %s takes work", j.Queue.Service).WithRetryAfter(m.retryAfter(j))
 	}
@@ -194,6 +202,11 @@
 // retryAfter returns when a refused caller should come back. It is spread by
 // the job's ID, so that those refused together come back apart.
 func (m *Machine) retryAfter(j *homeJob) time.Duration {
-	part := float64(xxhash.Sum64String(j.ID)>>11) / (1 << 53)
-	return firstRetry + time.Duration(part*float64(retrySpread))
+	return firstRetry + time.Duration(draw(j.ID)*float64(retrySpread))
+}
+
+// draw returns a number between zero and one, neither included, that looks
+// random and is always the same for a text.
+func draw(text string) float64 {
+	return (float64(xxhash.Sum64String(text)>>11) + 0.5) / (1 << 53)
 }
--- a/pool/expiry.go
+++ b/pool/expiry.go
@@ -33,7 +33,7 @@
 		j.deferred = true
 		j.startBy = j.late.Add(-longestChain(j.Steps))
 		m.enqueue(j)
-		if f := m.refusal(now, j); f != nil {
+		if f, _ := m.refusal(now, j); f != nil {
 			m.end(now, j, f, out)
 		}
 	}
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -119,8 +119,8 @@
 		m.end(now, old, fault.New(fault.Cancelled, "the caller has sent the job again"), out)
 	}
 	h := m.newJob(now, call, j)
-	if refusal := m.admit(now, h); refusal != nil {
-		out.log(event.JobRefused, j.ID, refusal.Error()+"; queue="+j.Queue.Name+" "+m.load(now, h).String())
+	if refusal, found := m.admit(now, h); refusal != nil {
+		out.log(event.JobRefused, j.ID, refusal.Error()+"; queue="+j.Queue.Name+" "+found.String())
 		out.Answers = append(out.Answers, Answer{Call: call, Fault: refusal})
 		return
 	}
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lovagecrank/lovagecrank/instance"
 )
 
@@ -80,8 +78,7 @@
 // of its cores: a small machine can't serve as many endpoints as a large one, but
 // as many jobs come to it, and a task that runs where its job is costs least.
 func ownerScore(endpoint string, i instance.Info) float64 {
-	drawn := (float64(xxhash.Sum64String(endpoint+"\x00"+i.ID)>>11) + 0.5) / (1 << 53)
-	return -math.Log(drawn) / math.Sqrt(i.Size())
+	return -math.Log(draw(endpoint+"\x00"+i.ID)) / math.Sqrt(i.Size())
 }
 
 // audience returns the peers that are told of vacancies. Each instance has
--- a/pool/place.go
+++ b/pool/place.go
@@ -35,9 +35,17 @@
 			full = append(full, j.Queue.Service)
 		}
 	}
+	m.offerRest(now, out)
+}
+
+// offerRest offers the places that no own task has taken, once for each service
+// for which tasks wait at peers.
+func (m *Machine) offerRest(now time.Time, out *Output) {
+	var offered []string
 	for _, p := range m.nearPeers {
 		for _, r := range p.rooms {
-			if len(r.Waits) > 0 {
+			if len(r.Waits) > 0 && !slices.Contains(offered, r.Service) {
+				offered = append(offered, r.Service)
 				m.offerBefore(now, r.Service, nil, out)
 			}
 		}
--- a/pool/vacancies.go
+++ b/pool/vacancies.go
@@ -36,10 +36,13 @@
 }
 
 // room returns what the peer told of a service, or nil.
-func (p *peer) room(service string) *message.Room {
-	for i := range p.rooms {
-		if p.rooms[i].Service == service {
-			return &p.rooms[i]
+func (p *peer) room(service string) *message.Room { return roomOf(p.rooms, service) }
+
+// roomOf returns the room of a service, or nil.
+func roomOf(rooms []message.Room, service string) *message.Room {
+	for i := range rooms {
+		if rooms[i].Service == service {
+			return &rooms[i]
 		}
 	}
 	return nil
@@ -92,7 +95,10 @@
 	}
 	wait := time.Duration(-1)
 	for _, r := range v.Rooms {
-		old := roomOf(m.vacancies.last, r.Service)
+		var old message.Room
+		if told := roomOf(m.vacancies.last.Rooms, r.Service); told != nil {
+			old = *told
+		}
 		switch {
 		case moreWaits(r.Waits, old.Waits):
 			return m.pace(tellSoon, soonShare)
@@ -119,15 +125,6 @@
 	return float64(max(now, told)-min(now, told)) > smallShift*float64(max(now, told))
 }
 
-func roomOf(v message.Vacancies, service string) message.Room {
-	for _, r := range v.Rooms {
-		if r.Service == service {
-			return r
-		}
-	}
-	return message.Room{}
-}
-
 // moreWaits reports whether peers would offer too few places by what they
 // know, or places for less urgent tasks.
 func moreWaits(now, told []message.Wait) bool {
@@ -180,10 +177,8 @@
 }
 
 func addRoom(v *message.Vacancies, service string) *message.Room {
-	for i := range v.Rooms {
-		if v.Rooms[i].Service == service {
-			return &v.Rooms[i]
-		}
+	if r := roomOf(v.Rooms, service); r != nil {
+		return r
 	}
 	v.Rooms = append(v.Rooms, message.Room{Service: service})
 	return &v.Rooms[len(v.Rooms)-1]
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -56,7 +56,7 @@
 func (r *Runner) tellListChange(c endpoint.Change) {
 	body := message.ListChange{After: c.After, Cursor: c.Cursor, Put: listedOf(c.Put), Gone: c.Gone}
 	for _, ref := range r.view.Load().Near {
-		r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: ref, Body: body})
+		r.send(ref, body)
 	}
 }
 
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -159,7 +159,7 @@
 		r.askRoutes(time.Now(), m.From, b.Version)
 	case message.RoutesRequest:
 		if document := r.document.Load(); document != nil {
-			r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: m.From, Body: message.Routes{Document: *document}})
+			r.send(m.From, message.Routes{Document: *document})
 		}
 	case message.Routes:
 		r.learnRoutes(b.Document)
@@ -168,7 +168,7 @@
 	case message.ListsRequest:
 		if lists := r.ownLists(); len(lists.Endpoints) > 0 {
 			lists.Instances = append(slices.Clone(lists.Instances), r.cfg.Self)
-			r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: m.From, Body: lists})
+			r.send(m.From, lists)
 		}
 	case message.Lists:
 		r.learnLists(b)
@@ -185,5 +185,5 @@
 		return
 	}
 	r.asked, r.askedAt = version, now
-	r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: peer, Body: message.RoutesRequest{}})
+	r.send(peer, message.RoutesRequest{})
 }
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -31,11 +31,16 @@
 	return false
 }
 
+// send queues a message for a peer.
+func (r *Runner) send(to instance.Ref, body message.Body) {
+	r.peers.Send(message.Message{From: r.cfg.Self.Ref, To: to, Body: body})
+}
+
 // Joined implements [peer.Handler].
 func (p peerInputs) Joined(i instance.Info) {
 	p.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.PeerJoined(now, i, out) })
 	if len(p.ownLists().Endpoints) == 0 {
-		p.Runner.peers.Send(message.Message{From: p.cfg.Self.Ref, To: i.Ref, Body: message.ListsRequest{}})
+		p.send(i.Ref, message.ListsRequest{})
 	}
 }
 
