--- a/runner/run.go
+++ b/runner/run.go
@@ -94,7 +94,7 @@
 	}
 	var list []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a.String())
+		l, err := r.Listen(a)
 		if err != nil {
 			for _, open := range list {
 				_ = open.Close()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -85,7 +86,7 @@
 		Version uint64
 	}
 
-	// Options are the dependencies of a Runner. All are required.
+	// Options are the dependencies of a Runner. All but Listen are required.
 	Options struct {
 		EndpointClient EndpointClient
 		Store          Store
@@ -95,6 +96,9 @@
 		NewHandler func(*Runner) http.Handler
 		// Record logs an event. It must not block.
 		Record func(time.Time, event.Record)
+		// Listen opens a listener at one of the addresses of Config. It is
+		// optional; the default opens a TCP socket.
+		Listen func(netip.AddrPort) (net.Listener, error)
 	}
 
 	// Runner is one running instance.
@@ -161,6 +165,9 @@
 		machine:     pool.New(now, pool.Config{Self: cfg.Self, LeaseTime: cfg.LeaseTime, StopTime: cfg.StopTime}),
 		calls:       map[uint64]chan *fault.Error{},
 	}
+	if r.Listen == nil {
+		r.Listen = func(a netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", a.String()) }
+	}
 	r.view.Store(&pool.View{})
 	r.metrics = metric.NewRunnerSet(r.snapshot)
 	r.Record = func(now time.Time, e event.Record) {
--- a/serve/cluster_test.go
+++ b/serve/cluster_test.go
@@ -128,14 +128,15 @@
 	c.endpoints = append(c.endpoints, e)
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+// openListener returns a listener on a loopback port. It stays open until the
+// instance uses it, so that no other process can take the port.
+func openListener(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return l
 }
 
 // addInstance starts an instance with the default settings after changes, and
@@ -145,7 +146,8 @@
 	cfg.Instance = settings.Instance{ID: id, DataCentre: "dc", Rack: "r"}
 	cfg.Listeners.Caller = netip.MustParseAddrPort("127.0.0.1:0")
 	cfg.Listeners.Operator = netip.MustParseAddrPort("127.0.0.1:0")
-	cfg.Listeners.Peer = freeAddress(c.t)
+	peerListener := openListener(c.t)
+	cfg.Listeners.Peer = addressOf(peerListener)
 	cfg.Listeners.AdvertisedPeer = cfg.Listeners.Peer
 	cfg.Platform.Addresses = []netip.AddrPort{platformAddress}
 	for _, change := range changes {
@@ -157,7 +159,7 @@
 	force, n.kill = context.WithCancel(context.Background())
 	started := make(chan Addresses, 1)
 	go func() {
-		n.done <- Run(ctx, &cfg, Options{Force: force, Started: func(a Addresses) { started <- a }})
+		n.done <- Run(ctx, &cfg, Options{Force: force, Started: func(a Addresses) { started <- a }, Listeners: Listeners{Peer: peerListener}})
 	}()
 	select {
 	case n.addresses = <-started:
--- a/serve/program.go
+++ b/serve/program.go
@@ -32,7 +32,7 @@
 	program struct {
 		cfg       *settings.Settings
 		options   Options
-		listeners listeners
+		listeners Listeners
 		driver    *driver
 		peers     *peer.Pool
 		workers   *worker.Client
@@ -45,10 +45,6 @@
 		// cancel ends the context of the driver and of all background work.
 		cancel context.CancelFunc
 	}
-
-	listeners struct {
-		caller, operator, peer net.Listener
-	}
 )
 
 func newProgram(cfg *settings.Settings, o Options) (*program, error) {
@@ -64,14 +60,15 @@
 }
 
 func (p *program) listen() error {
-	l := p.cfg.Listeners
+	l, open := p.cfg.Listeners, p.options.Listeners
+	p.listeners = open
 	var err error
-	p.listeners.caller, err = listen(l.Caller, "caller")
+	p.listeners.Caller, err = listen(open.Caller, l.Caller, "caller")
 	if err == nil {
-		p.listeners.operator, err = listen(l.Operator, "operator")
+		p.listeners.Operator, err = listen(open.Operator, l.Operator, "operator")
 	}
 	if err == nil {
-		p.listeners.peer, err = listen(l.Peer, "peer")
+		p.listeners.Peer, err = listen(open.Peer, l.Peer, "peer")
 	}
 	if err != nil {
 		p.listeners.close()
@@ -79,8 +76,8 @@
 	return err
 }
 
-func (l listeners) close() {
-	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
+func (l Listeners) close() {
+	for _, listener := range []net.Listener{l.Caller, l.Operator, l.Peer} {
 		if listener != nil {
 			listener.Close()
 		}
@@ -165,9 +162,9 @@
 	wg.Go(func() { pollList(d.ctx, p.store.Instances, d.handleInstances) })
 	wg.Go(func() { pollList(d.ctx, p.endpoints, d.handleEndpoints) })
 	wg.Go(func() { d.announce(d.ctx, p.store) })
-	wg.Go(func() { _ = p.peers.Run(d.ctx, p.listeners.peer) })
-	serveHTTP(&wg, p.callers, p.listeners.caller)
-	serveHTTP(&wg, p.operators, p.listeners.operator)
+	wg.Go(func() { _ = p.peers.Run(d.ctx, p.listeners.Peer) })
+	serveHTTP(&wg, p.callers, p.listeners.Caller)
+	serveHTTP(&wg, p.operators, p.listeners.Operator)
 	p.reportStarted()
 	<-ctx.Done()
 	lost := p.stop()
@@ -216,9 +213,9 @@
 // Options.Started.
 func (p *program) reportStarted() {
 	a := Addresses{
-		Caller:   addressOf(p.listeners.caller),
-		Operator: addressOf(p.listeners.operator),
-		Peer:     addressOf(p.listeners.peer),
+		Caller:   addressOf(p.listeners.Caller),
+		Operator: addressOf(p.listeners.Operator),
+		Peer:     addressOf(p.listeners.Peer),
 	}
 	p.driver.record(event.Record{
 		Kind:    event.Started,
--- a/serve/run.go
+++ b/serve/run.go
@@ -35,6 +35,14 @@
 		// Started is called with the addresses once the instance serves them;
 		// it may be nil.
 		Started func(Addresses)
+		// Listeners are already open. Those that are nil are opened at the
+		// addresses of the settings. Run closes them.
+		Listeners Listeners
+	}
+
+	// Listeners are the listeners of an instance.
+	Listeners struct {
+		Caller, Operator, Peer net.Listener
 	}
 
 	// Addresses are the addresses of an instance's listeners.
@@ -91,7 +99,11 @@
 	return s
 }
 
-func listen(address netip.AddrPort, name string) (net.Listener, error) {
+// listen returns the open listener, or opens one at the address if open is nil.
+func listen(open net.Listener, address netip.AddrPort, name string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen for %s on %s; free the address or change listeners.%s: %w", name, address, name, err)
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -112,7 +112,7 @@
 		return netip.AddrPort{}, fmt.Errorf("cannot listen on loopback: %w", err)
 	}
 	c.standins.Go(func() { c.recordError(standin.Serve(ctx, l, h)) })
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return addressOf(l), nil
 }
 
 func (c *cluster) startEndpoint(ctx context.Context, p *standin.Platform, n int) error {
@@ -140,37 +140,41 @@
 }
 
 func (c *cluster) startInstance(ctx context.Context, logger log.Logger, n int, loc location, platform netip.AddrPort) error {
-	ports, err := freePorts(3)
+	open, err := openListeners()
 	if err != nil {
 		return err
 	}
+	callerAddress, operatorAddress, peerAddress := addressOf(open.Caller), addressOf(open.Operator), addressOf(open.Peer)
 	cfg := settings.Default()
 	cfg.Instance = settings.Instance{ID: fmt.Sprintf("entry-%d", n+1), DataCentre: loc.dataCentre, Rack: loc.rack}
-	cfg.Listeners = settings.Listeners{Caller: ports[0], Operator: ports[1], Peer: ports[2], AdvertisedPeer: ports[2]}
+	cfg.Listeners = settings.Listeners{Caller: callerAddress, Operator: operatorAddress, Peer: peerAddress, AdvertisedPeer: peerAddress}
 	cfg.Platform.Addresses = []netip.AddrPort{platform}
 	logger = log.With(logger, "instance", cfg.Instance.ID)
-	c.instances.Go(func() { c.recordError(serve.Run(ctx, &cfg, serve.Options{Logger: logger})) })
-	c.callers = append(c.callers, client.Client{Base: "http://" + ports[0].String()})
-	c.operators = append(c.operators, client.Client{Base: "http://" + ports[1].String()})
+	c.instances.Go(func() { c.recordError(serve.Run(ctx, &cfg, serve.Options{Logger: logger, Listeners: open})) })
+	c.callers = append(c.callers, client.Client{Base: "http://" + callerAddress.String()})
+	c.operators = append(c.operators, client.Client{Base: "http://" + operatorAddress.String()})
 	return nil
 }
 
-// freePorts returns n different loopback addresses with ports that are free at
-// the time of the call.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for range n {
+// openListeners opens the listeners of an instance on loopback. They stay open
+// until the instance uses them, so that no other process can take a port.
+func openListeners() (serve.Listeners, error) {
+	var list []net.Listener
+	for range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, fmt.Errorf("cannot listen on loopback: %w", err)
+			for _, open := range list {
+				open.Close()
+			}
+			return serve.Listeners{}, fmt.Errorf("cannot listen on loopback: %w", err)
 		}
-		// Closes all listeners at the end so that no port is returned twice.
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+		list = append(list, l)
 	}
-	return ports, nil
+	return serve.Listeners{Caller: list[0], Operator: list[1], Peer: list[2]}, nil
 }
 
+func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
 // waitReady waits until every instance reports on /readyz that it accepts jobs.
 func (c *cluster) waitReady(ctx context.Context) error {
 	for i := range c.operators {
