pool: let the wait for an answer follow what is measured

Cause: a start counted as unanswered after a fixed 30 ms. On a link of 2 Mbit/s the eight starts of one job take longer, so each was stopped and repeated elsewhere, and its connection closed after 250 ms, which loaded the link further.

Ruled out: a longer fixed time (orders that are carried out late cost their job's goal), doubling with each unanswered start (5 % of lost answers would raise it for good).

Change: the time follows the smoothed answer time and its deviation as TCP's retransmission timer does, between 30 and 400 ms; late answers count as samples. At most 0.15 of the starts, 20 at once, are repeated; beyond that the instance waits longer and does not blame the endpoint. The timeout of an order, after which its connection is closed, follows too.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -17,10 +17,6 @@
 	// allows several renewals of a lease of one second, and a lost poll is
 	// noticed before the next task of the shortest kind is late.
 	pollWait = 200 * time.Millisecond
-	// startTimeout is how long a start may be unanswered before the run is
-	// stopped so that its task can start elsewhere. It is many round trips, and
-	// less than the slack of the shortest jobs.
-	startTimeout = 30 * time.Millisecond
 	// overdueFactor is how many times its expected run time, which may be off
 	// by a half, a run must take before an immediate poll is sent next to the
 	// pending one.
@@ -44,9 +40,6 @@
 	minClockRate = 0.98
 	// leaseMargin is added to the end of a lease before it counts as expired.
 	leaseMargin = 30 * time.Millisecond
-	// stopRetryInterval is the time after which an unanswered stop is sent
-	// again.
-	stopRetryInterval = 30 * time.Millisecond
 	// stopMargin is the time after StopTime at which an accepted stop counts as
 	// complete.
 	stopMargin = 30 * time.Millisecond
@@ -181,7 +174,9 @@
 	return (len(e.runs) > 0 || e.polling) && now.Sub(e.unansweredSince) > silenceTimeout
 }
 
-func (e *endpointState) order() Order { return Order{Endpoint: e.info, Token: e.token} }
+func (m *Machine) order(e *endpointState, timeout time.Duration) Order {
+	return Order{Endpoint: e.info, Token: e.token, Timeout: timeout}
+}
 
 // known reports whether the endpoint has reported its clock.
 func (c clock) known() bool { return !c.received.IsZero() }
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/route"
+	"github.com/lovagecrank/lovagecrank/run"
 )
 
 // tally counts the answers to the callers of one queue.
@@ -86,6 +87,25 @@
 	}
 }
 
+// TestSlowLink checks that starts are not repeated if those of one job take
+// longer than a round trip on the link of its instance, as on a link of 2 Mbit/s.
+// With a fixed time of 30 ms for an answer, starts were stopped and repeated,
+// which loaded the link further: 0.13 of the urgent jobs were within their goal.
+func TestSlowLink(t *testing.T) {
+	sim := startSimulation(t, 1, 4, 28)
+	sim.startTransferTime = 6 * time.Millisecond
+	tallies := sim.generateMixedLoad(20*time.Second, 0.5)
+	sim.advance(20 * time.Second)
+	sim.startTransferTime = 0
+	sim.checkIdle()
+	logTallies(t, tallies)
+	stopped := float64(sim.observer.ends[run.Stopped]) / float64(sim.observer.starts)
+	t.Logf("%.3f of %d runs were stopped", stopped, sim.observer.starts)
+	if share, _ := tallies["urgent"].shares(); share < 0.95 || stopped > 0.02 {
+		t.Errorf("%.3f of the urgent jobs are within their goal, %.3f of the runs were stopped", share, stopped)
+	}
+}
+
 func logTallies(t *testing.T, tallies map[string]*tally) {
 	for _, name := range []string{"urgent", "routine", "long"} {
 		y := tallies[name]
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -115,6 +115,8 @@
 		// end, by ID.
 		parked map[string]*homeJob
 
+		answerTimes answerTimes
+
 		offers    map[uint64]*offer
 		lastOffer uint64
 		arrivals  arrivals
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -5,3 +5,6 @@
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
+
+// answered reports whether the endpoint answered the order.
+func (o Outcome) answered() bool { return o != Unanswered && o != ConnectionRefused }
--- a/pool/output.go
+++ b/pool/output.go
@@ -47,6 +47,9 @@
 	Order struct {
 		Endpoint endpoint.Info
 		Token    int64
+		// Timeout is how long to wait for the reply before it counts as
+		// unanswered and the connection is closed.
+		Timeout time.Duration
 	}
 
 	// Start starts a run.
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -36,7 +36,7 @@
 	if e.polling || now.Before(e.nextPoll) {
 		return
 	}
-	p := Poll{Order: e.order(), LastEnd: e.lastEnd}
+	p := Poll{LastEnd: e.lastEnd}
 	if e.active && len(e.runs) > 0 {
 		p.Wait = pollWait
 	}
@@ -48,10 +48,11 @@
 	if e.immediatePolling {
 		return
 	}
-	m.sendPoll(now, e, Poll{Order: e.order(), LastEnd: e.lastEnd, Immediate: true}, out)
+	m.sendPoll(now, e, Poll{LastEnd: e.lastEnd, Immediate: true}, out)
 }
 
 func (m *Machine) sendPoll(now time.Time, e *endpointState, p Poll, out *Output) {
+	p.Order = m.order(e, p.Wait+m.answerTimes.orderTimeout(minPollMargin))
 	if e.active && e.clock.known() && m.renewsLease(now, e) {
 		p.Until = e.clock.latest(now) + m.cfg.LeaseTime
 		e.maxLeaseEnd = max(e.maxLeaseEnd, p.Until)
@@ -94,7 +95,7 @@
 		m.advance(now, out)
 		return
 	}
-	if reply.Outcome != Unanswered && reply.Outcome != ConnectionRefused {
+	if reply.Outcome.answered() {
 		m.recordRemoteAnswer(now, e)
 	}
 	if reply.Outcome == Accepted {
@@ -153,7 +154,7 @@
 		listed[r.Run] = r.Percent
 		if e.runs[r.Run] == nil {
 			unknown++
-			out.Stops = append(out.Stops, Stop{Order: e.order(), Run: r.Run})
+			out.Stops = append(out.Stops, Stop{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: r.Run})
 		}
 	}
 	if !e.active && unknown == 0 {
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/event"
@@ -18,8 +19,9 @@
 	e.used = addScaled(e.used, s.Needs, 1)
 	until := e.clock.latest(now) + time.Duration(startLeaseShare*float64(m.cfg.LeaseTime))
 	e.maxLeaseEnd = max(e.maxLeaseEnd, until)
-	out.Starts = append(out.Starts, Start{Order: e.order(), Run: s.Run, Spec: s.Spec, Until: until})
-	out.wakeAt(now.Add(startTimeout + time.Millisecond))
+	out.Starts = append(out.Starts, Start{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: s.Run, Spec: s.Spec, Until: until})
+	m.answerTimes.recordStart()
+	out.wakeAt(now.Add(m.answerTimes.timeout() + time.Millisecond))
 	m.poll(now, e, out)
 }
 
@@ -30,6 +32,9 @@
 		return
 	}
 	if r := e.runs[reply.Run]; r != nil {
+		if reply.Outcome.answered() {
+			m.answerTimes.observe(now.Sub(r.sentAt))
+		}
 		m.applyStartReply(now, e, r, reply, out)
 	}
 	m.advance(now, out)
@@ -68,8 +73,11 @@
 	if !r.stopRequestedAt.IsZero() {
 		return
 	}
-	out.log(event.StartUnanswered, r.ref.Task, "endpoint "+e.info.ID+" may have started the run; stopping it there")
-	e.health.recordUnanswered(now)
+	out.log(event.StartUnanswered, r.ref.Task, fmt.Sprintf("endpoint %s did not answer for %s and may have started the run; stopping it there", e.info.ID, milliseconds(now.Sub(r.sentAt))))
+	if m.answerTimes.mayRestart() {
+		e.health.recordUnanswered(now)
+	}
+	m.answerTimes.recordRestart()
 	m.sendStop(now, e, r, out)
 }
 
@@ -79,7 +87,7 @@
 		r.stopRequestedAt = now
 	}
 	r.stopSentAt = now
-	out.Stops = append(out.Stops, Stop{Order: e.order(), Run: r.ref})
+	out.Stops = append(out.Stops, Stop{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: r.ref})
 }
 
 // HandleStopReply handles an endpoint's reply to a stop.
@@ -115,16 +123,18 @@
 		m.pollImmediately(now, e, out)
 		out.wakeAt(r.stopAcceptedAt.Add(m.cfg.StopTime + stopMargin + time.Millisecond))
 	case !r.stopRequestedAt.IsZero():
-		if now.Sub(r.stopSentAt) >= stopRetryInterval {
+		if now.Sub(r.stopSentAt) >= m.answerTimes.timeout() {
 			m.sendStop(now, e, r, out)
 		}
-		out.wakeAt(r.stopSentAt.Add(stopRetryInterval))
+		out.wakeAt(r.stopSentAt.Add(m.answerTimes.timeout()))
 	case r.startedAt.IsZero():
-		if now.Sub(r.sentAt) >= startTimeout && !m.tickLate {
+		if m.startUnanswered(now, r) {
 			m.stopUnansweredStart(now, e, r, out)
 			return
 		}
-		out.wakeAt(later(now, r.sentAt.Add(startTimeout)))
+		if due := r.sentAt.Add(m.answerTimes.timeout()); due.After(now) {
+			out.wakeAt(due)
+		}
 	case r.overdue(now):
 		m.pollImmediately(now, e, out)
 		r.overduePollInterval *= 2
@@ -138,6 +148,16 @@
 	}
 }
 
+// startUnanswered reports whether a start is given up as unanswered. If too many
+// are, the cause is this instance or its links, so that it waits longer.
+func (m *Machine) startUnanswered(now time.Time, r *heldRun) bool {
+	waited := now.Sub(r.sentAt)
+	if waited < m.answerTimes.timeout() || m.tickLate {
+		return false
+	}
+	return m.answerTimes.mayRestart() || waited >= maxAnswerTimeout
+}
+
 // scheduleOverdue sets when the run counts as overdue.
 func (r *heldRun) scheduleOverdue(now time.Time, slowdown float64) {
 	expected := time.Duration(max(slowdown, 1) * float64(r.estimate))
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -56,9 +56,12 @@
 		// lateShare is the share of orders that are carried out late and not
 		// answered.
 		lateShare float64
-		calls     map[uint64]*attempt
-		lastCall  uint64
-		lastJob   int
+		// startTransferTime is how long an instance's link needs to send one
+		// start; the starts of an instance are sent one after another.
+		startTransferTime time.Duration
+		calls             map[uint64]*attempt
+		lastCall          uint64
+		lastJob           int
 		// messages counts the messages between instances.
 		messages int
 	}
@@ -75,6 +78,9 @@
 		// tickNumber is the number of the last scheduled tick; earlier ones are
 		// ignored.
 		tickNumber int
+		// linkFreeAt is when the link has sent all starts; see
+		// simulation.startTransferTime.
+		linkFreeAt time.Time
 		connected  map[int]bool
 		// neighbours are the IDs of the peers that the machine selected.
 		neighbours map[string]bool
@@ -278,11 +284,11 @@
 		sim.handleAnswer(n, a)
 	}
 	for _, s := range out.Starts {
-		sim.sendOrder(n, s.Order, func(e *fakeEndpoint) Reply { return e.start(s) },
+		sim.sendOrder(n, s.Order, sim.transferStart(n), func(e *fakeEndpoint) Reply { return e.start(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStartReply(sim.now, StartReply{r, s.Run}, out) })
 	}
 	for _, s := range out.Stops {
-		sim.sendOrder(n, s.Order, func(e *fakeEndpoint) Reply { return e.stop(s) },
+		sim.sendOrder(n, s.Order, 0, func(e *fakeEndpoint) Reply { return e.stop(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStopReply(sim.now, StopReply{r, s.Run}, out) })
 	}
 	for _, l := range out.Polls {
@@ -346,9 +352,23 @@
 	})
 }
 
-// sendOrder delivers an order to its endpoint and returns the reply. A share of
-// lateShare is not answered and is carried out seconds later.
-func (sim *simulation) sendOrder(n *fakeInstance, o Order, apply func(*fakeEndpoint) Reply, back func(Reply, *Machine, *Output)) {
+// transferStart returns how long the instance's link needs to send one more
+// start.
+func (sim *simulation) transferStart(n *fakeInstance) time.Duration {
+	if sim.startTransferTime == 0 {
+		return 0
+	}
+	if n.linkFreeAt.Before(sim.now) {
+		n.linkFreeAt = sim.now
+	}
+	n.linkFreeAt = n.linkFreeAt.Add(sim.startTransferTime)
+	return n.linkFreeAt.Sub(sim.now)
+}
+
+// sendOrder delivers an order to its endpoint after the transfer time and
+// returns the reply. A share of lateShare is not answered and is carried out
+// seconds later.
+func (sim *simulation) sendOrder(n *fakeInstance, o Order, transfer time.Duration, apply func(*fakeEndpoint) Reply, back func(Reply, *Machine, *Output)) {
 	sent := sim.now
 	e := sim.endpointAt(o)
 	reply := func(r Reply) {
@@ -368,7 +388,7 @@
 		sim.after(testOrderTimeout, func() { reply(Reply{Outcome: Unanswered}) })
 		return
 	}
-	sim.after(testOneWayDelay, func() {
+	sim.after(transfer+testOneWayDelay, func() {
 		r := apply(e)
 		sim.after(testOneWayDelay, func() {
 			if sim.unreachable[[2]int{n.index, e.index}] {
