pool: estimate more urgent arrivals from what peers report

Cause: the slots that more urgent jobs will need were the own rate of arrivals times the number of instances.

Ruled out: a longer window (it follows bursts too late).

Change: reports of free slots carry the sender's rates by priority; the estimate is their sum over the instances whose slots are counted.

--- a/message/pool.go
+++ b/message/pool.go
@@ -46,6 +46,16 @@
 		Largest task.Needs
 		// Backlog has one entry for each priority with waiting tasks.
 		Backlog []WaitingTasks
+		// Arrivals has one entry for each priority with recent jobs.
+		Arrivals []ArrivalRate
+	}
+
+	// ArrivalRate is the rate at which work of one priority arrives at the
+	// sender.
+	ArrivalRate struct {
+		Priority int
+		// Slots is how many slots the work keeps busy.
+		Slots float64
 	}
 
 	// WaitingTasks is the demand of the waiting tasks of one priority.
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -64,7 +64,8 @@
 		message.Status{Draining: true, Version: 4, Endpoints: []string{"w"}, DataCentres: []string{"b", "c"}},
 		message.FreeSlots{Capacities: []message.Capacity{{
 			Service: "s", Slots: 9, Free: 2, Largest: testNeeds,
-			Backlog: []message.WaitingTasks{{Priority: 1, Late: true, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: testNeeds}},
+			Arrivals: []message.ArrivalRate{{Priority: 1, Slots: 2.5}},
+			Backlog:  []message.WaitingTasks{{Priority: 1, Late: true, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: testNeeds}},
 		}}},
 		message.StartRun{
 			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: testNeeds, Estimate: time.Second,
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -121,8 +122,12 @@
 		if err != nil {
 			return nil, err
 		}
+		arrivals, err := decodeArrivals(r.GetArrivals())
+		if err != nil {
+			return nil, err
+		}
 		b.Capacities = append(b.Capacities, message.Capacity{
-			Service: r.GetService(), Slots: int(r.GetPlaces()), Free: int(r.GetFree()), Largest: largest, Backlog: backlog,
+			Service: r.GetService(), Slots: int(r.GetPlaces()), Free: int(r.GetFree()), Largest: largest, Backlog: backlog, Arrivals: arrivals,
 		})
 	}
 	return b, nil
@@ -147,6 +152,17 @@
 	return backlog, nil
 }
 
+func decodeArrivals(list []*wire.ArrivalRate) ([]message.ArrivalRate, error) {
+	var arrivals []message.ArrivalRate
+	for _, w := range list {
+		if slots := w.GetSlots(); !(slots >= 0 && slots <= math.MaxInt32) { // also excludes NaN
+			return nil, errOutOfRange
+		}
+		arrivals = append(arrivals, message.ArrivalRate{Priority: int(w.GetPriority()), Slots: w.GetSlots()})
+	}
+	return arrivals, nil
+}
+
 func decodeLists(w *wire.Lists) (message.Body, error) {
 	b := message.Lists{}
 	for _, item := range w.GetInstances() {
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -84,6 +84,9 @@
 				Needs:    encodeNeeds(d.Needs),
 			})
 		}
+		for _, a := range r.Arrivals {
+			capacity.Arrivals = append(capacity.Arrivals, &wire.ArrivalRate{Priority: int32(a.Priority), Slots: a.Slots})
+		}
 		w.Rooms = append(w.Rooms, capacity)
 	}
 	return w
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -173,19 +173,23 @@
 			l.work += q.Steps[t.step].Estimate
 		}
 	}
-	countedInstances := 1 // assumes the same arrivals at each counted instance as here
+	priority := j.Queue.Priority
+	if j.late {
+		priority, l.minShare = math.MaxInt, minLateCapacityShare
+	}
+	l.urgentSlots = urgentSlots(m.arrivals.rates(now, service), priority)
 	for _, p := range m.sortedPeers {
 		c := p.capacity(service)
 		if c == nil {
 			continue
 		}
-		countedInstances++
 		l.slots += c.Slots
 		l.free += c.Free
 		if now.Sub(p.capacitiesAt) > maxReportAge {
 			continue
 		}
 		l.addBacklog(c.Backlog, j)
+		l.urgentSlots += urgentSlots(c.Arrivals, priority)
 	}
 	if now.Sub(m.startedAt) < startupTime {
 		// Endpoints are still being claimed, and nothing runs on them.
@@ -193,12 +197,9 @@
 		l.free = max(l.free, l.slots)
 	}
 	l.work += totalWork(j.Job)
-	priority := j.Queue.Priority
 	if j.late {
-		priority, l.minShare = math.MaxInt, minLateCapacityShare
-		l.urgentSlots = lateHeadroom * float64(l.slots)
+		l.urgentSlots += lateHeadroom * float64(l.slots)
 	}
-	l.urgentSlots += m.arrivals.urgentSlots(now, service, priority) * float64(countedInstances)
 	return l
 }
 
--- a/pool/arrivals.go
+++ b/pool/arrivals.go
@@ -3,11 +3,17 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lovagecrank/lovagecrank/message"
 )
 
-// arrivalWindow is the time constant of the average of arrivals: a few times
-// the goal of the shortest jobs.
-const arrivalWindow = time.Second
+const (
+	// arrivalWindow is the time constant of the average of arrivals: a few times
+	// the goal of the shortest jobs.
+	arrivalWindow = time.Second
+	// minReportedRate is the lowest rate that is reported, in slots.
+	minReportedRate = 0.01
+)
 
 type (
 	// arrivals is the rate at which work arrives, by service and priority.
@@ -39,14 +45,25 @@
 	*a = append(*a, arrival{service, priority, added, now})
 }
 
+// rates returns the current rates of a service.
+func (a arrivals) rates(now time.Time, service string) []message.ArrivalRate {
+	var list []message.ArrivalRate
+	for _, e := range a {
+		if rate := e.rateAt(now); e.service == service && rate >= minReportedRate {
+			list = append(list, message.ArrivalRate{Priority: e.priority, Slots: rate})
+		}
+	}
+	return list
+}
+
 // urgentSlots returns how many slots the work of more urgent priorities keeps
 // busy.
-func (a arrivals) urgentSlots(now time.Time, service string, priority int) float64 {
-	rate := 0.0
-	for _, e := range a {
-		if e.service == service && e.priority < priority {
-			rate += e.rateAt(now)
+func urgentSlots(rates []message.ArrivalRate, priority int) float64 {
+	slots := 0.0
+	for _, r := range rates {
+		if r.Priority < priority {
+			slots += r.Slots
 		}
 	}
-	return rate
+	return slots
 }
--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -174,6 +174,7 @@
 		c := &v.Capacities[i]
 		c.Slots, c.Free = m.slotTotals(now, c.Service)
 		c.Largest = m.largestFree(now, c.Service)
+		c.Arrivals = m.arrivals.rates(now, c.Service)
 		if len(c.Backlog) > 0 {
 			c.Free = 0 // own tasks take the remaining slots
 		}
