--- a/pool/history.go
+++ b/pool/history.go
@@ -17,7 +17,10 @@
 func (j *homeJob) history(now time.Time) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "queue=%s took=%s goal=%s", j.Queue.Name, milliseconds(now.Sub(j.arrived)), milliseconds(j.goal.Sub(j.arrived)))
-	if j.deferred {
+	switch {
+	case j.late:
+		b.WriteString(" late")
+	case j.deferred:
 		b.WriteString(" deferred")
 	}
 	b.WriteString(" runs=")
