endpoint: repeat changes of the list to peers, also those of a paged read

Found by reading what could leave an instance without a change for so long: the entries of an update are those that changed in the reader's own list. Its list may be ahead of its cursor, as 1,100 entries are read in three pages; a change between two pages is then known to the reader, is no news to it when the feed returns it, and is left out of the update, while the peers' cursors pass it.

Ruled out by reading: lost or reordered updates (a gap makes an instance read the store itself after 1.3 s), a stuck follower (its calls have time limits), a feed cut at 500 rows (the next heartbeat of the worker brings the entry again).

Change: a complete list tells which entries are newer than its cursor, and the next update has them. Updates repeat each change and each removal for 2.5 s, so that a peer that has missed one learns it from the next.

Test: TestUpdateAfterPagedRead, red before.

--- a/endpoint/follower.go
+++ b/endpoint/follower.go
@@ -1,6 +1,10 @@
 package endpoint
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// readers is how many instances of a data centre read the list on behalf of
@@ -11,6 +15,10 @@
 	// periods of 600 ms. It is short because a draining endpoint must get no new
 	// work after two seconds.
 	peerUpdateTimeout = 1300 * time.Millisecond
+	// repeatPeriod is how long updates to peers repeat a change. An update has
+	// only what changed in the list of its sender, which a peer may have missed
+	// if its own cursor comes from another reader.
+	repeatPeriod = 2500 * time.Millisecond
 )
 
 type (
@@ -20,6 +28,9 @@
 		// Full means that Put is the complete list.
 		Full bool
 		Put  []Info
+		// Newer holds the IDs of the entries of a complete list that may have
+		// changed after Cursor, since a long list is read in pages.
+		Newer []string
 		// Removed holds the IDs of the removed entries.
 		Removed []string
 	}
@@ -34,11 +45,16 @@
 		// lastPeerUpdate is when a peer last sent a change that follows on from
 		// the known list.
 		lastPeerUpdate time.Time
+		// changedAt and removedAt are when entries changed or were removed, by
+		// ID, as far as updates still repeat them; see repeatPeriod.
+		changedAt, removedAt map[string]time.Time
 	}
 )
 
 // NewFollower returns a follower with an empty list.
-func NewFollower() *Follower { return &Follower{list: NewListing()} }
+func NewFollower() *Follower {
+	return &Follower{list: NewListing(), changedAt: map[string]time.Time{}, removedAt: map[string]time.Time{}}
+}
 
 // Cursor returns the store's cursor up to which the list is known; zero before
 // the first read.
@@ -58,16 +74,40 @@
 // to send to peers, whether to send it, and whether the list changed.
 func (f *Follower) HandleStoreChange(now time.Time, c Change) (update Change, ok, changed bool) {
 	f.list.SetStoreReachable(now)
-	update = Change{After: f.cursor, Cursor: c.Cursor, Removed: c.Removed}
+	update = Change{After: f.cursor, Cursor: c.Cursor}
 	ok = !c.Full && f.list.stable(now)
 	if c.Full {
 		f.list.Replace(now, c.Put)
+		for _, id := range c.Newer {
+			f.changedAt[id] = now
+		}
 		changed = true
 	} else {
-		update.Put, changed = f.put(c.Put)
+		changed = f.put(now, c.Put)
 	}
 	f.cursor = c.Cursor
-	return update, ok, f.remove(now, c.Removed) || changed
+	changed = f.remove(now, c.Removed) || changed
+	update.Put, update.Removed = f.recentChanges(now)
+	return update, ok, changed
+}
+
+// forgetOldChanges forgets the changes that updates no longer repeat.
+func (f *Follower) forgetOldChanges(now time.Time) {
+	old := func(_ string, at time.Time) bool { return now.Sub(at) > repeatPeriod }
+	maps.DeleteFunc(f.changedAt, old)
+	maps.DeleteFunc(f.removedAt, old)
+}
+
+// recentChanges returns the entries that changed and the IDs of those that were
+// removed within repeatPeriod, in the order of their IDs.
+func (f *Follower) recentChanges(now time.Time) (put []Info, removed []string) {
+	f.forgetOldChanges(now)
+	for _, id := range slices.Sorted(maps.Keys(f.changedAt)) {
+		if info, ok := f.list.entries[id]; ok {
+			put = append(put, info)
+		}
+	}
+	return put, slices.Sorted(maps.Keys(f.removedAt))
 }
 
 // HandlePeerChange handles a change that a peer has read and reports whether
@@ -81,7 +121,8 @@
 	if c.Cursor <= f.cursor {
 		return false
 	}
-	_, changed = f.put(c.Put)
+	f.forgetOldChanges(now)
+	changed = f.put(now, c.Put)
 	f.cursor = c.Cursor
 	return f.remove(now, c.Removed) || changed
 }
@@ -89,19 +130,26 @@
 // HandleStoreUnreachable records that the store does not answer.
 func (f *Follower) HandleStoreUnreachable() { f.list.SetStoreUnreachable() }
 
-// put updates entries and returns those that changed.
-func (f *Follower) put(infos []Info) (updated []Info, changed bool) {
+// put updates entries and reports whether any of them changed.
+func (f *Follower) put(now time.Time, infos []Info) (changed bool) {
 	for _, i := range infos {
 		if f.list.Put(i) {
-			updated = append(updated, i)
+			f.changedAt[i.ID] = now
+			delete(f.removedAt, i.ID)
+			changed = true
 		}
 	}
-	return updated, len(updated) > 0
+	return changed
 }
 
+// remove removes entries and reports whether the removal of any entry took
+// effect.
 func (f *Follower) remove(now time.Time, removed []string) (changed bool) {
 	for _, id := range removed {
-		f.list.Remove(now, id)
+		if f.list.Remove(now, id) {
+			f.removedAt[id] = now
+			delete(f.changedAt, id)
+		}
 	}
 	return f.list.Expire(now)
 }
--- a/endpoint/follower_test.go
+++ b/endpoint/follower_test.go
@@ -137,3 +137,47 @@
 	is.True(ok)
 	is.Equal(len(f.Infos()), 0)
 }
+
+// TestUpdateAfterPagedRead reads a long list in pages, of which a later one is
+// newer than the cursor: an endpoint has begun to drain in between. The next update
+// must tell the peers so, although nothing changes in the reader's own list. A peer
+// that has the cursor of that update from another reader must learn it too. On
+// voltmesh-sim-large scale-2, an instance started tasks for 4 s on an endpoint that
+// was draining.
+func TestUpdateAfterPagedRead(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	ready, draining := Info{ID: "e1"}, Info{ID: "e1", Draining: true}
+	peer := NewFollower()
+	peer.HandleStoreChange(now, Change{Cursor: 15, Full: true, Put: []Info{ready}})
+
+	reader := NewFollower()
+	reader.HandleStoreChange(now, Change{Cursor: 10, Full: true, Put: []Info{draining}, Newer: []string{"e1"}})
+	now = now.Add(600 * time.Millisecond)
+	update, ok, _ := reader.HandleStoreChange(now, Change{After: 10, Cursor: 20, Put: []Info{draining}})
+	is.True(ok)
+	is.True(peer.HandlePeerChange(now, update))
+	is.Equal(peer.Infos(), []Info{draining})
+
+	other := NewFollower()
+	other.HandleStoreChange(now, Change{Cursor: 21, Full: true, Put: []Info{ready}})
+	for range 3 { // the change is repeated
+		now = now.Add(600 * time.Millisecond)
+		update, ok, _ = reader.HandleStoreChange(now, Change{After: update.Cursor, Cursor: update.Cursor + 5})
+		is.True(ok)
+		other.HandlePeerChange(now, update)
+	}
+	is.Equal(other.Infos(), []Info{draining})
+	now = now.Add(repeatPeriod)
+	update, _, _ = reader.HandleStoreChange(now, Change{After: update.Cursor, Cursor: update.Cursor + 5})
+	is.Equal(len(update.Put), 0)
+
+	// Removals are repeated too, but not passed on again by those who know.
+	update, _, _ = reader.HandleStoreChange(now, Change{After: update.Cursor, Cursor: update.Cursor + 5, Removed: []string{"e1"}})
+	is.Equal(update.Removed, []string{"e1"})
+	peer.HandlePeerChange(now, update)
+	now = now.Add(2 * repeatPeriod)
+	peer.HandlePeerChange(now, update)
+	update, _, _ = peer.HandleStoreChange(now, Change{After: update.Cursor, Cursor: update.Cursor + 5})
+	is.Equal(len(update.Removed), 0)
+}
--- a/endpoint/listing.go
+++ b/endpoint/listing.go
@@ -44,15 +44,17 @@
 		a.Size == b.Size && a.Draining == b.Draining && a.Service == b.Service && a.StartedAt.Equal(b.StartedAt) && slices.Equal(a.Labels, b.Labels)
 }
 
-// Remove records that the store no longer has the entry.
-func (l *Listing) Remove(now time.Time, id string) {
+// Remove records that the store no longer has the entry. It reports whether this
+// is new.
+func (l *Listing) Remove(now time.Time, id string) bool {
 	if _, ok := l.entries[id]; !ok {
-		return
+		return false
 	}
 	if _, ok := l.removals[id]; ok {
-		return
+		return false
 	}
 	l.removals[id] = later(now, l.storeBackAt.Add(returnGracePeriod))
+	return true
 }
 
 // Replace handles the complete list as read from the store.
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -152,6 +152,7 @@
 		parked:        map[string]*homeJob{},
 		offers:        map[uint64]*offer{},
 		typicalNeeds:  map[string]task.Needs{},
+		answerTimes:   newAnswerTimes(),
 	}
 }
 
