--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -174,8 +174,10 @@
 	return (len(e.runs) > 0 || e.polling) && now.Sub(e.unansweredSince) > silenceTimeout
 }
 
-func (m *Machine) order(e *endpointState, timeout time.Duration) Order {
-	return Order{Endpoint: e.info, Token: e.token, Timeout: timeout}
+// order returns the common part of an order that the endpoint may answer after
+// wait. minTimeout is the minimum time that it has for the answer beyond that.
+func (m *Machine) order(e *endpointState, wait, minTimeout time.Duration) Order {
+	return Order{Endpoint: e.info, Token: e.token, Timeout: wait + m.answerTimes.orderTimeout(minTimeout)}
 }
 
 // known reports whether the endpoint has reported its clock.
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -84,10 +85,7 @@
 			reachable[dc] = true
 		}
 	}
-	for _, p := range m.sortedPeers {
-		consider(p)
-	}
-	for _, p := range m.lostPeers {
+	for p := range m.knownPeers() {
 		consider(p)
 	}
 	delete(reachable, m.cfg.Self.DataCentre)
@@ -139,12 +137,7 @@
 	if !m.draining {
 		consider(m.cfg.Self, self)
 	}
-	for _, p := range m.sortedPeers {
-		if p.info.DataCentre == m.cfg.Self.DataCentre && p.canHold() {
-			consider(p.info, another)
-		}
-	}
-	for _, p := range m.lostPeers {
+	for p := range m.knownPeers() {
 		if p.info.DataCentre == m.cfg.Self.DataCentre && p.canHold() {
 			consider(p.info, another)
 		}
@@ -204,6 +197,23 @@
 	return max(a, b)-min(a, b) < int64(startedTogether)
 }
 
+// knownPeers returns the connected peers and those that were lost less than
+// reconnectTimeout ago, in no particular order.
+func (m *Machine) knownPeers() iter.Seq[*peer] {
+	return func(yield func(*peer) bool) {
+		for _, p := range m.sortedPeers {
+			if !yield(p) {
+				return
+			}
+		}
+		for _, p := range m.lostPeers {
+			if !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // canHold reports whether the peer can hold endpoints.
 func (p *peer) canHold() bool { return p.statusReceived && !p.status.Draining }
 
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -52,7 +52,7 @@
 }
 
 func (m *Machine) sendPoll(now time.Time, e *endpointState, p Poll, out *Output) {
-	p.Order = m.order(e, p.Wait+m.answerTimes.orderTimeout(minPollMargin))
+	p.Order = m.order(e, p.Wait, minPollMargin)
 	if e.active && e.clock.known() && m.renewsLease(now, e) {
 		p.Until = e.clock.latest(now) + m.cfg.LeaseTime
 		e.maxLeaseEnd = max(e.maxLeaseEnd, p.Until)
@@ -154,7 +154,7 @@
 		listed[r.Run] = r.Percent
 		if e.runs[r.Run] == nil {
 			unknown++
-			out.Stops = append(out.Stops, Stop{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: r.Run})
+			out.Stops = append(out.Stops, Stop{Order: m.order(e, 0, minOrderTimeout), Run: r.Run})
 		}
 	}
 	if !e.active && unknown == 0 {
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -19,7 +19,7 @@
 	e.used = addScaled(e.used, s.Needs, 1)
 	until := e.clock.latest(now) + time.Duration(startLeaseShare*float64(m.cfg.LeaseTime))
 	e.maxLeaseEnd = max(e.maxLeaseEnd, until)
-	out.Starts = append(out.Starts, Start{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: s.Run, Spec: s.Spec, Until: until})
+	out.Starts = append(out.Starts, Start{Order: m.order(e, 0, minOrderTimeout), Run: s.Run, Spec: s.Spec, Until: until})
 	m.answerTimes.recordStart()
 	out.wakeAt(now.Add(m.answerTimes.timeout() + time.Millisecond))
 	m.poll(now, e, out)
@@ -87,7 +87,7 @@
 		r.stopRequestedAt = now
 	}
 	r.stopSentAt = now
-	out.Stops = append(out.Stops, Stop{Order: m.order(e, m.answerTimes.orderTimeout(minOrderTimeout)), Run: r.ref})
+	out.Stops = append(out.Stops, Stop{Order: m.order(e, 0, minOrderTimeout), Run: r.ref})
 }
 
 // HandleStopReply handles an endpoint's reply to a stop.
