pool, platform: log refused stops and the evidence for runs that count as over

The logs could not tell the hypotheses of the incident apart: neither the reply to a stop nor the reason why a run without a listed end counts as over was written.

LC2072 has each stop that was not accepted, with the status or the error. LC2073 has each run that counts as over or as never begun without an end in the endpoint's list, with the evidence. LC2043 also has starts refused with an outcome that concerns the whole endpoint, and LC2043 and LC2063 name the run. No decision changes.

Ruled out: metrics alone (lovagecrank_orders_total already counts stops by outcome, but not which run was concluded from which).

--- a/event/table.go
+++ b/event/table.go
@@ -42,6 +42,8 @@
 	JobAnswered
 	LinesDropped
 	SettingsRejected
+	StopNotAccepted
+	RunConcluded
 	numKinds
 )
 
@@ -87,6 +89,8 @@
 	JobAnswered:          row("LC2069", catalogue.Info, "Job answered", "A job is complete and its caller has the answer.", "No action is needed."),
 	LinesDropped:         row("LC2070", catalogue.Warning, "Log lines dropped", "More lines were logged than the buffer holds; the log gives the number of dropped lines.", "Refusals and failures have a separate buffer; see docs/OPERATIONS.md."),
 	SettingsRejected:     row("LC2071", catalogue.Warning, "Settings rejected", "The settings file changed and cannot be used; the previous settings stay in force.", "Correct the key that the log names."),
+	StopNotAccepted:      row("LC2072", catalogue.Warning, "Stop not accepted", "The endpoint refused a stop order or did not answer it. The run may continue, and its task does not start elsewhere until its end is proved.", "Check the endpoint that the log names. The stop is repeated."),
+	RunConcluded:         row("LC2073", catalogue.Info, "Run concluded", "A run counts as over, or as never begun, though the endpoint did not list its end. The log gives the evidence.", "No action is needed. If two runs of a task overlap, the evidence tells which conclusion was wrong."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- /dev/null
+++ b/pool/evidence.go
@@ -0,0 +1,27 @@
+package pool
+
+import (
+	"fmt"
+
+	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/run"
+)
+
+// The evidence that a run is over or never began, other than its end in an
+// endpoint's list.
+const (
+	stopAccepted     evidence = "its stop was accepted and has had time to complete"
+	absentAfterStop  evidence = "a list requested after its stop was accepted lacks it"
+	absentAfterStart evidence = "a list requested after its start was accepted lacks it"
+	endpointOver     evidence = "the endpoint restarted, or its lease expired by the clock"
+	leaseOver        evidence = "its lease must have expired"
+	startNotReceived evidence = "its holder never received the start"
+)
+
+// evidence is why a run counts as over, for logs.
+type evidence string
+
+// logConclusion logs that a run counts as over.
+func (o *Output) logConclusion(ref run.Ref, place string, status run.Status, why evidence) {
+	o.log(event.RunConcluded, ref.Task, fmt.Sprintf("run %d at %s counts as %s: %s", ref.Number, place, status, why))
+}
--- a/pool/output.go
+++ b/pool/output.go
@@ -94,6 +94,9 @@
 		Clock time.Duration
 		// Sent is when the order was sent.
 		Sent time.Time
+		// Detail is the status or the error received instead of an acceptance, for
+		// logs.
+		Detail string
 	}
 
 	// StartReply is the reply to a Start.
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -171,9 +171,9 @@
 			r.progress.observe(now, percent)
 		case !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(reply.Sent):
 			// The run is neither running nor among the ended runs.
-			m.finishRun(now, e, r.ref, r.stoppedStatus(), out)
+			m.concludeRun(now, e, r, r.stoppedStatus(), absentAfterStop, out)
 		case !r.startedAt.IsZero() && r.startedAt.Before(reply.Sent):
-			m.finishRun(now, e, r.ref, run.Expired, out)
+			m.concludeRun(now, e, r, run.Expired, absentAfterStart, out)
 		}
 	}
 }
@@ -245,7 +245,7 @@
 			m.reportRun(now, e, r, run.Unconfirmed, out)
 			continue
 		}
-		m.finishRun(now, e, r.ref, run.Expired, out)
+		m.concludeRun(now, e, r, run.Expired, endpointOver, out)
 	}
 	m.releaseEndpoint(e)
 	e.clock = clock{}
--- a/pool/reconcile.go
+++ b/pool/reconcile.go
@@ -82,6 +82,9 @@
 				u.Status, u.Endpoint = end.status, end.endpoint
 			}
 		}
+		if u.Status == run.NotRun && u.Endpoint == "" {
+			out.logConclusion(ref, "home "+home.ID, u.Status, startNotReceived)
+		}
 		m.send(home, u, out)
 	}
 }
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -54,6 +54,7 @@
 		return
 	case Fenced, Restarted, ConnectionRefused:
 		// The run never began, and the cause concerns the whole endpoint.
+		logStartRefused(r.ref, e, reply.Reply, out)
 		m.finishRun(now, e, r.ref, run.NotRun, out)
 		m.handleEndpointFailure(now, e, reply.Reply, out)
 		return
@@ -63,17 +64,21 @@
 		e.health.backOff(now)
 	}
 	m.recordAnswer(now, e, reply.Reply)
-	out.log(event.EndpointRefused, r.ref.Task, "endpoint "+e.info.ID+" answered "+reply.Outcome.String())
+	logStartRefused(r.ref, e, reply.Reply, out)
 	m.finishRun(now, e, r.ref, run.NotRun, out)
 }
 
+func logStartRefused(ref run.Ref, e *endpointState, reply Reply, out *Output) {
+	out.log(event.EndpointRefused, ref.Task, fmt.Sprintf("run %d: endpoint %s answered %s", ref.Number, e.info.ID, reply.summary()))
+}
+
 // stopUnansweredStart stops a run whose start may have been carried out, now or
 // later, so that its task can start elsewhere.
 func (m *Machine) stopUnansweredStart(now time.Time, e *endpointState, r *heldRun, out *Output) {
 	if !r.stopRequestedAt.IsZero() {
 		return
 	}
-	out.log(event.StartUnanswered, r.ref.Task, fmt.Sprintf("endpoint %s did not answer for %s and may have started the run; stopping it there", e.info.ID, milliseconds(now.Sub(r.sentAt))))
+	out.log(event.StartUnanswered, r.ref.Task, fmt.Sprintf("endpoint %s did not answer for %s and may have started run %d; stopping it there", e.info.ID, milliseconds(now.Sub(r.sentAt)), r.ref.Number))
 	if m.answerTimes.mayRestart() {
 		e.health.recordUnanswered(now)
 	}
@@ -97,6 +102,9 @@
 		return
 	}
 	r := e.runs[reply.Run]
+	if reply.Outcome != Accepted {
+		out.log(event.StopNotAccepted, reply.Run.Task, fmt.Sprintf("run %d: endpoint %s answered %s", reply.Run.Number, e.info.ID, reply.summary()))
+	}
 	switch reply.Outcome {
 	case Unanswered:
 	case Fenced, Restarted, ConnectionRefused:
@@ -117,7 +125,7 @@
 	switch {
 	case !r.stopAcceptedAt.IsZero():
 		if now.Sub(r.stopAcceptedAt) > m.cfg.StopTime+stopMargin {
-			m.finishRun(now, e, r.ref, run.Stopped, out)
+			m.concludeRun(now, e, r, run.Stopped, stopAccepted, out)
 			return
 		}
 		m.pollImmediately(now, e, out)
@@ -169,6 +177,12 @@
 // is due.
 func (r *heldRun) overdue(now time.Time) bool { return !now.Before(r.overduePollAt) }
 
+// concludeRun finishes a run whose end the endpoint did not list.
+func (m *Machine) concludeRun(now time.Time, e *endpointState, r *heldRun, status run.Status, why evidence, out *Output) {
+	out.logConclusion(r.ref, "endpoint "+e.info.ID, status, why)
+	m.finishRun(now, e, r.ref, status, out)
+}
+
 // finishRun removes a run from its endpoint and reports its end to its home.
 func (m *Machine) finishRun(now time.Time, e *endpointState, ref run.Ref, status run.Status, out *Output) {
 	r := e.runs[ref]
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -8,6 +8,7 @@
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/run"
 )
 
 // maxLeaseDuration returns how long a lease that is not renewed may last, by
@@ -79,6 +80,7 @@
 	if now.Before(t.notBefore) {
 		return
 	}
+	out.logConclusion(run.Ref{Task: t.name, Number: t.number}, "holder "+t.holder.ID, run.Expired, leaseOver)
 	t.notBefore = time.Time{}
 	j.possiblyStarted = true
 	m.enqueueTask(t)
