--- a/pool/simulation_orders_test.go
+++ b/pool/simulation_orders_test.go
@@ -4,6 +4,21 @@
 	"time"
 )
 
+// delivery is an order on its way from an instance to an endpoint.
+type delivery struct {
+	kind orderKind
+	from *fakeInstance
+	to   *fakeEndpoint
+	// transfer is how long the instance's link needs for the order, and timeout
+	// how long the instance waits for an answer that it does not get.
+	transfer, timeout time.Duration
+	// carryOut carries the order out at the endpoint, which calls answer with a
+	// function that passes its reply to the instance.
+	carryOut func(answer func(give func()))
+	// fail gives the instance a reply without content.
+	fail func(Reply)
+}
+
 // transferStart returns how long the instance's link needs to send one more
 // start.
 func (sim *simulation) transferStart(n *fakeInstance) time.Duration {
@@ -17,38 +32,22 @@
 	return n.linkFreeAt.Sub(sim.now)
 }
 
-// sendOrder delivers an order to its endpoint after the transfer time and
-// returns the reply. A share of lateShare is not answered and is carried out
-// seconds later.
-func (sim *simulation) sendOrder(n *fakeInstance, o Order, transfer time.Duration, apply func(*fakeEndpoint) Reply, back func(Reply, *Machine, *Output)) {
+// sendOrder delivers a start or a stop after the transfer time and returns the
+// reply.
+func (sim *simulation) sendOrder(n *fakeInstance, kind orderKind, o Order, transfer time.Duration, apply func(*fakeEndpoint) Reply, back func(Reply, *Machine, *Output)) {
 	sent := sim.now
 	e := sim.endpointAt(o)
 	reply := func(r Reply) {
 		r.Endpoint, r.Token, r.Sent = o.Endpoint.ID, o.Token, sent
 		sim.input(n, func(m *Machine, out *Output) { back(r, m, out) })
 	}
-	if sim.unreachable[[2]int{n.index, e.index}] {
-		if sim.refuseConnections {
-			sim.after(testOneWayDelay, func() { reply(Reply{Outcome: ConnectionRefused}) })
-			return
-		}
-		sim.after(testOrderTimeout, func() { reply(Reply{Outcome: Unanswered}) })
-		return
-	}
-	if sim.rng.Float64() < sim.lateShare {
-		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() { apply(e) })
-		sim.after(testOrderTimeout, func() { reply(Reply{Outcome: Unanswered}) })
-		return
-	}
-	sim.after(transfer+testOneWayDelay, func() {
-		r := apply(e)
-		sim.after(testOneWayDelay, func() {
-			if sim.unreachable[[2]int{n.index, e.index}] {
-				sim.after(testOrderTimeout, func() { reply(Reply{Outcome: Unanswered}) })
-				return
-			}
-			reply(r)
-		})
+	sim.deliver(delivery{
+		kind: kind, from: n, to: e, transfer: transfer, timeout: testOrderTimeout,
+		carryOut: func(answer func(func())) {
+			r := apply(e)
+			answer(func() { reply(r) })
+		},
+		fail: reply,
 	})
 }
 
@@ -68,29 +67,64 @@
 		r.Endpoint, r.Token, r.Sent, r.LastEnd, r.Immediate = p.Endpoint.ID, p.Token, sent, p.LastEnd, p.Immediate
 		sim.input(n, func(m *Machine, out *Output) { m.HandlePollReply(sim.now, r, out) })
 	}
-	timeOut := func() { sim.after(p.Wait+pollMargin, func() { reply(PollReply{Reply: Reply{Outcome: Unanswered}}) }) }
-	if sim.unreachable[[2]int{n.index, e.index}] {
+	sim.deliver(delivery{
+		kind: pollOrder, from: n, to: e, timeout: p.Wait + pollMargin,
+		carryOut: func(answer func(func())) {
+			e.poll(p, func(r PollReply) { answer(func() { reply(r) }) })
+		},
+		fail: func(r Reply) { reply(PollReply{Reply: r}) },
+	})
+}
+
+// deliver delivers an order and its reply. A share of lateShare is not answered
+// and is carried out seconds later. Other orders have the troubles of the
+// simulation.
+func (sim *simulation) deliver(d delivery) {
+	if sim.isCutOff(d) {
 		if sim.refuseConnections {
-			sim.after(testOneWayDelay, func() { reply(PollReply{Reply: Reply{Outcome: ConnectionRefused}}) })
+			sim.after(testOneWayDelay, func() { d.fail(Reply{Outcome: ConnectionRefused}) })
 			return
 		}
-		timeOut()
+		sim.timeOut(d)
 		return
 	}
 	if sim.rng.Float64() < sim.lateShare {
-		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() { e.poll(p, func(PollReply) {}) })
-		timeOut()
+		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() { d.carryOut(func(func()) {}) })
+		sim.timeOut(d)
 		return
 	}
+	f := sim.fateOf(d)
+	sim.after(d.transfer+testOneWayDelay, func() {
+		if f.refused && d.to.up {
+			r := d.to.reply(f.refusal)
+			sim.giveBack(d, f, func() { d.fail(r) })
+			return
+		}
+		d.carryOut(func(give func()) { sim.giveBack(d, f, give) })
+	})
+}
+
+// giveBack delivers the reply to an order.
+func (sim *simulation) giveBack(d delivery, f fate, give func()) {
 	sim.after(testOneWayDelay, func() {
-		e.poll(p, func(r PollReply) {
-			sim.after(testOneWayDelay, func() {
-				if sim.unreachable[[2]int{n.index, e.index}] {
-					timeOut()
-					return
-				}
-				reply(r)
-			})
-		})
+		switch {
+		case sim.isCutOff(d):
+			sim.timeOut(d)
+		case f.answerLost:
+			d.fail(Reply{Outcome: Unanswered})
+		default:
+			give()
+		}
 	})
 }
+
+// timeOut ends an order that gets no answer.
+func (sim *simulation) timeOut(d delivery) {
+	sim.after(d.timeout, func() { d.fail(Reply{Outcome: Unanswered}) })
+}
+
+// isCutOff reports whether the network between the sender and the receiver of an
+// order is partitioned.
+func (sim *simulation) isCutOff(d delivery) bool {
+	return sim.unreachable[[2]int{d.from.index, d.to.index}]
+}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -56,6 +56,8 @@
 		// lateShare is the share of orders that are carried out late and not
 		// answered.
 		lateShare float64
+		// troubles are the troubles that orders have now.
+		troubles []trouble
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
@@ -284,11 +286,11 @@
 		sim.handleAnswer(n, a)
 	}
 	for _, s := range out.Starts {
-		sim.sendOrder(n, s.Order, sim.transferStart(n), func(e *fakeEndpoint) Reply { return e.start(s) },
+		sim.sendOrder(n, startOrder, s.Order, sim.transferStart(n), func(e *fakeEndpoint) Reply { return e.start(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStartReply(sim.now, StartReply{r, s.Run}, out) })
 	}
 	for _, s := range out.Stops {
-		sim.sendOrder(n, s.Order, 0, func(e *fakeEndpoint) Reply { return e.stop(s) },
+		sim.sendOrder(n, stopOrder, s.Order, 0, func(e *fakeEndpoint) Reply { return e.stop(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStopReply(sim.now, StopReply{r, s.Run}, out) })
 	}
 	for _, l := range out.Polls {
