pool: count a stop as accepted only if the endpoint accepted it

Cause: HandleStopReply took every outcome that it did not name for an acceptance, also Unhealthy (429 or 503, which say that nothing was done), Full, Late, Old and Invalid. If the answer of a start was lost and the stop that followed was refused, the run counted as stopped 81 ms later (50 ms for the stop, 30 ms margin, 1 ms) and the task started again beside it.

Ruled out: a refused connection taken for a start that never began (it would start again at once, and no stop would be sent); the end of the lease and a second home (a second or more).

Change: only Accepted is an acceptance. A refused stop records that the endpoint answered, and maintainRun repeats it as an unanswered one.

The tests of pool and platform pass.

--- a/pool/runs.go
+++ b/pool/runs.go
@@ -106,15 +106,18 @@
 		out.log(event.StopNotAccepted, reply.Run.Task, fmt.Sprintf("run %d: endpoint %s answered %s", reply.Run.Number, e.info.ID, reply.summary()))
 	}
 	switch reply.Outcome {
-	case Unanswered:
-	case Fenced, Restarted, ConnectionRefused:
-		m.handleEndpointFailure(now, e, reply.Reply, out)
-	default:
+	case Accepted:
 		m.recordAnswer(now, e, reply.Reply)
 		if r != nil && r.stopAcceptedAt.IsZero() {
 			r.stopAcceptedAt = now
 			m.pollImmediately(now, e, out)
 		}
+	case Fenced, Restarted, ConnectionRefused:
+		m.handleEndpointFailure(now, e, reply.Reply, out)
+	case Unanswered:
+	default:
+		// A refused stop had no effect. maintainRun repeats it.
+		m.recordAnswer(now, e, reply.Reply)
 	}
 	m.advance(now, out)
 }
