pool: conclude that an unlisted start never began once it is late

Since a refused stop proves nothing, a task whose start was lost on the way waited for its stop to be accepted, for as long as the endpoint refused stops.

A start carries its deadline on the endpoint's clock and is refused as late afterwards. A poll that was sent after the start, is answered from a later time of that clock and does not list the run proves that it never began and can't begin.

Weighed: a poll with a higher fencing token, which would prove it within one round trip, but turns all orders in flight there into fenced ones.

TestLostStartWithRefusedStops failed before ("0 != 1" runs done after two seconds) and passes now.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -117,6 +117,8 @@
 		// estimate is the expected run time.
 		estimate time.Duration
 		sentAt   time.Time
+		// until is when the start is refused as late, on the endpoint's clock.
+		until time.Duration
 		// startedAt is when the endpoint accepted the run; zero before.
 		startedAt time.Time
 		// stopRequestedAt is when a stop was first requested, stopSentAt when
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -10,12 +10,13 @@
 // The evidence that a run is over or never began, other than its end in an
 // endpoint's list.
 const (
-	stopAccepted     evidence = "its stop was accepted and has had time to complete"
-	absentAfterStop  evidence = "a list requested after its stop was accepted lacks it"
-	absentAfterStart evidence = "a list requested after its start was accepted lacks it"
-	endpointOver     evidence = "the endpoint restarted, or its lease expired by the clock"
-	leaseOver        evidence = "its lease must have expired"
-	startNotReceived evidence = "its holder never received the start"
+	stopAccepted        evidence = "its stop was accepted and has had time to complete"
+	absentAfterStop     evidence = "a list requested after its stop was accepted lacks it"
+	absentAfterStart    evidence = "a list requested after its start was accepted lacks it"
+	absentAfterDeadline evidence = "a list requested after its start was sent, from a time when the start is late, lacks it"
+	endpointOver        evidence = "the endpoint restarted, or its lease expired by the clock"
+	leaseOver           evidence = "its lease must have expired"
+	startNotReceived    evidence = "its holder never received the start"
 )
 
 // evidence is why a run counts as over, for logs.
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -174,6 +174,9 @@
 			m.concludeRun(now, e, r, r.stoppedStatus(), absentAfterStop, out)
 		case !r.startedAt.IsZero() && r.startedAt.Before(reply.Sent):
 			m.concludeRun(now, e, r, run.Expired, absentAfterStart, out)
+		case r.startedAt.IsZero() && r.sentAt.Before(reply.Sent) && reply.Clock > r.until:
+			// Even if its stop is refused, the start can no longer begin it.
+			m.concludeRun(now, e, r, run.NotRun, absentAfterDeadline, out)
 		}
 	}
 }
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -19,6 +19,7 @@
 	e.used = addScaled(e.used, s.Needs, 1)
 	until := e.clock.latest(now) + time.Duration(startLeaseShare*float64(m.cfg.LeaseTime))
 	e.maxLeaseEnd = max(e.maxLeaseEnd, until)
+	r.until = until
 	out.Starts = append(out.Starts, Start{Order: m.order(e, 0, minOrderTimeout), Run: s.Run, Spec: s.Spec, Until: until})
 	m.answerTimes.recordStart()
 	out.wakeAt(now.Add(m.answerTimes.timeout() + time.Millisecond))
--- /dev/null
+++ b/pool/stop_test.go
@@ -0,0 +1,26 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/run"
+)
+
+// TestLostStartWithRefusedStops guards against a task that waits for the stop of
+// a run that never began.
+func TestLostStartWithRefusedStops(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(t, 1, 1, 2)
+	sim.troubles = []trouble{{stopOrder, fate{refused: true, refusal: Unhealthy}}}
+	sim.lateShare = 1
+	c := sim.submit(0, routine, 4*time.Second, step(1, 500*time.Millisecond))
+	sim.lateShare = 0
+	sim.advance(2 * time.Second) // a lease and a run
+	is.Equal(sim.observer.ends[run.Done], 1)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+	sim.checkIdle()
+}
