pool: let the lease end an orphaned run whose stop is not accepted

A run that nothing waits for any more (its caller left, its home is gone) is stopped, since the caller may ask elsewhere 1.3 s later. If the endpoint refused the stop, the run went on for as long as other runs there renewed the lease, which is one for all of them.

Now the lease is not renewed, and the endpoint gets no start that would extend it, until the stops of all orphaned runs are accepted. At most a lease of one second, 1.02 s by a slow clock, is left when the stop is requested. The price: other runs there end too if stops are refused for longer than about 0.8 s. An accepted stop sends a poll at once, which renews again.

TestLeaseEndsOrphanWithRefusedStops failed before (the run was still there 1.3 s after its caller had left) and passes now. The tests of pool pass.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -199,6 +199,9 @@
 	if !e.active || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
+	if e.hasUnstoppedOrphan(now.Add(-minAnswerTimeout)) {
+		return false // a start would extend the lease
+	}
 	usable, probation := e.health.usable(now)
 	return usable && (!probation || len(e.runs) == 0)
 }
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -67,9 +67,11 @@
 }
 
 // renewsLease reports whether the lease should be renewed: the endpoint answers
-// and runs something that is not orphaned.
+// and runs something that is not orphaned, and it has accepted the stops of all
+// orphaned runs. The lease ends an orphaned run that can't be stopped before its
+// caller, which may have resubmitted the job elsewhere, gets another run.
 func (m *Machine) renewsLease(now time.Time, e *endpointState) bool {
-	if e.silent(now) {
+	if e.silent(now) || e.hasUnstoppedOrphan(now) {
 		return false
 	}
 	for _, r := range e.runs {
@@ -80,6 +82,17 @@
 	return false
 }
 
+// hasUnstoppedOrphan reports whether the endpoint has an orphaned run whose stop
+// was requested at the given time or earlier and is not accepted.
+func (e *endpointState) hasUnstoppedOrphan(requested time.Time) bool {
+	for _, r := range e.runs {
+		if r.orphaned && r.stopAcceptedAt.IsZero() && !r.stopRequestedAt.After(requested) {
+			return true
+		}
+	}
+	return false
+}
+
 // HandlePollReply handles an endpoint's reply to a poll.
 func (m *Machine) HandlePollReply(now time.Time, reply PollReply, out *Output) {
 	e, ok := m.endpoints[reply.Endpoint]
--- a/pool/stop_test.go
+++ b/pool/stop_test.go
@@ -24,3 +24,23 @@
 	is.True(c.answers[0] == nil)
 	sim.checkIdle()
 }
+
+// TestLeaseEndsOrphanWithRefusedStops guards against renewing the lease of a run
+// that nothing waits for and whose stops are refused: its caller may have
+// submitted the job elsewhere.
+func TestLeaseEndsOrphanWithRefusedStops(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(t, 1, 1, 1)
+	abandoned := sim.submit(0, routine, 5*time.Second, step(1, 4*time.Second))
+	sim.submit(0, routine, 5*time.Second, step(1, time.Second))
+	sim.advance(100 * time.Millisecond)
+	is.Equal(sim.observer.starts, 2)
+	sim.troubles = []trouble{{stopOrder, fate{refused: true, refusal: Unhealthy}}}
+	sim.disconnectCaller(abandoned)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(0, routine, 5*time.Second, step(1, time.Second)) // would extend the lease
+	sim.advance(testRetryDelay - 100*time.Millisecond)
+	is.Equal(len(sim.observer.running[taskName(abandoned.job.ID, 0, 0)]), 0)
+	sim.troubles = nil
+	sim.checkIdle()
+}
