pool: ignore late replies of an endpoint's earlier boot

A poll reply that names another boot than the known one was taken for a restart, also when it was sent before the known boot had answered a poll. The clock of the earlier boot, usually far ahead, then replaced that of the present one, so that a lease could count as expired while its runs went on.

The reply of a poll sent before the first answered poll of the present boot is ignored if it names another boot, and so is the clock of a reply to a start or a stop sent before it.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -81,6 +81,9 @@
 		claimAfter time.Time
 
 		clock clock
+		// bootSince is when the first poll that the present boot answered was
+		// sent; zero if no other boot was known before.
+		bootSince time.Time
 		// maxLeaseEnd is the latest requested end of a lease, on the endpoint's
 		// clock.
 		maxLeaseEnd time.Duration
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -121,8 +121,15 @@
 }
 
 func (m *Machine) applyPollReply(now time.Time, e *endpointState, reply PollReply, out *Output) {
+	otherBoot := !reply.StartedAt.IsZero() && !e.info.StartedAt.IsZero() && !reply.StartedAt.Equal(e.info.StartedAt)
+	if otherBoot && reply.Sent.Before(e.bootSince) {
+		return // a late reply of an earlier boot
+	}
+	if otherBoot {
+		e.bootSince = reply.Sent
+	}
 	m.recordAnswer(now, e, reply.Reply)
-	if !reply.StartedAt.IsZero() && !e.info.StartedAt.IsZero() && !reply.StartedAt.Equal(e.info.StartedAt) {
+	if otherBoot {
 		e.adoptNewBoot(now, m.cfg.LeaseTime)
 	}
 	e.info.StartedAt = reply.StartedAt
@@ -153,7 +160,7 @@
 // reported.
 func (m *Machine) recordAnswer(now time.Time, e *endpointState, reply Reply) {
 	e.unansweredSince = now
-	if reply.Clock > 0 {
+	if reply.Clock > 0 && !reply.Sent.Before(e.bootSince) {
 		e.clock = clock{reading: reply.Clock, sent: reply.Sent, received: now}
 	}
 }
