pool: test homes that are gone while stops have no effect

A holder that loses a job's home stops its runs, since the caller asks elsewhere after 1.3 s. If stops have no effect, only the lease ends the runs.

After a power loss the holder notices only the silence, and the lease ends up to 2.07 s after it.

--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -33,6 +33,8 @@
 		slowdown float64
 		fails    bool
 		hangs    bool
+		// losesStops makes stops have no effect and no answer.
+		losesStops bool
 		// fullRefusals counts the starts refused as Full.
 		fullRefusals int
 	}
@@ -185,6 +187,9 @@
 }
 
 func (e *fakeEndpoint) stop(s Stop) Reply {
+	if e.losesStops {
+		return Reply{Outcome: Unanswered}
+	}
 	if r, ok := e.checkOrder(s.Order); !ok {
 		return r
 	}
