peer: Connected of a new stream waits for Disconnected of the ended one

Cause: Pool.detach made the link free before Handler.Disconnected was called, so attach had nothing to wait for. Now Disconnected comes first; a stream that opens meanwhile takes the place of the ended one and waits for it, and an ended stream has no priority over a new one. Messages sent between the end and detach are reported as unsent, as before.

Before: TestConnectedWaitsForDisconnected failed 3 of 3 ("joined" before "lost"). After, on a busy machine: go test ./peer -race -count=5 ok 57.6s go test ./peer -run 'ConnectedWaits|Replaced|Partition|Pair' -count=30 ok 67.4s

--- a/peer/link.go
+++ b/peer/link.go
@@ -108,12 +108,12 @@
 }
 
 // keepsCurrent reports whether the link's current stream has priority over a
-// new one. That is the case if the two streams were opened by different sides,
-// with the same incarnation of the peer, and the current one was opened by the
-// instance whose key sorts first.
+// new one. That is the case if it has not ended, the two streams were opened by
+// different sides, with the same incarnation of the peer, and the current one was
+// opened by the instance whose key sorts first.
 func (p *Pool) keepsCurrent(l *link, s *stream) bool {
 	c := l.current
-	if c == nil || c.remote.Incarnation != s.remote.Incarnation || c.dialled == s.dialled {
+	if c == nil || c.ctx.Err() != nil || c.remote.Incarnation != s.remote.Incarnation || c.dialled == s.dialled {
 		return false
 	}
 	first := keyOf(p.cfg.Self.Ref).before(l.key)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -46,7 +46,7 @@
 		ctx    context.Context
 		cancel context.CancelCauseFunc
 		// receiveDone is closed when receive has returned, and done when
-		// Handler.Disconnected has returned.
+		// Handler.Disconnected and Pool.detach have returned.
 		receiveDone, done chan struct{}
 		// replyDue holds an element while a keepalive must be answered.
 		replyDue chan struct{}
@@ -106,8 +106,8 @@
 	s.pool.wg.Go(func() {
 		wg.Wait()
 		s.readTimer.Stop()
-		s.pool.detach(s)
 		s.pool.cfg.Handler.Disconnected(s.remote.Ref)
+		s.pool.detach(s) // only now, so that a stream opened meanwhile waits in attach
 		close(s.done)
 	})
 	<-s.ctx.Done()
