--- /dev/null
+++ b/pool/identity_test.go
@@ -0,0 +1,82 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/run"
+)
+
+// newHolder returns an instance that holds endpoints, and the references of two
+// peers of it. Its outputs are read by the test and not carried out.
+func newHolder(t *testing.T, endpoints int) (sim *simulation, m *Machine, a, b instance.Ref) {
+	sim = newFleet(t, 1, 1, 3, endpoints)
+	sim.advance(2 * time.Second)
+	for i, n := range sim.instances {
+		if len(n.machine.held) == endpoints || endpoints > 1 && len(n.machine.held) > 1 {
+			return sim, n.machine, sim.instances[(i+1)%3].self.Ref, sim.instances[(i+2)%3].self.Ref
+		}
+	}
+	t.Fatal("no instance holds enough endpoints")
+	return nil, nil, a, b
+}
+
+// receive passes a message to the machine and returns its output.
+func receive(sim *simulation, m *Machine, from instance.Ref, body message.Body) *Output {
+	out := &Output{}
+	m.Receive(sim.now, message.Message{From: from, To: m.cfg.Self.Ref, Body: body}, out)
+	return out
+}
+
+// acceptStart makes the endpoint accept the only start of the output, and returns
+// the endpoint's ID.
+func acceptStart(t *testing.T, sim *simulation, m *Machine, out *Output) string {
+	t.Helper()
+	if len(out.Starts) != 1 {
+		t.Fatalf("%d starts", len(out.Starts))
+	}
+	s := out.Starts[0]
+	r := Reply{Endpoint: s.Endpoint.ID, Token: s.Token, Outcome: Accepted, Clock: sim.byID[s.Endpoint.ID].clock(), Sent: sim.now}
+	m.HandleStartReply(sim.now, StartReply{r, s.Run}, &Output{})
+	return s.Endpoint.ID
+}
+
+// sameRef is the first run of a task. Run numbers begin at 1 again when a caller
+// sends its job again, at whichever instance.
+var sameRef = run.Ref{Task: "j.0.0.0", Number: 1}
+
+func startOf(ref run.Ref) message.StartRun {
+	return message.StartRun{Run: ref, Service: "s", Spec: "x", Needs: needs(1), Estimate: time.Second}
+}
+
+// TestUpdateOfAnotherHolder tests that a home does not take the update of another
+// instance for one about its run: it may be late and about a run of the same name
+// of an earlier request. The observer fails the test if a second run starts.
+func TestUpdateOfAnotherHolder(t *testing.T) {
+	for _, status := range []run.Status{run.NotRun, run.Stopped, run.Failed, run.Expired} {
+		t.Run(status.String(), func(t *testing.T) {
+			is := is.New(t)
+			sim := newFleet(t, 1, 1, 3, 6)
+			sim.advance(2 * time.Second)
+			home := sim.instances[0]
+			c := sim.submit(0, &longQueue, 8*time.Second, step(1, 500*time.Millisecond))
+			sim.advance(50 * time.Millisecond)
+			task := home.machine.tasks[taskName(c.job.ID, 0, 0)]
+			is.Equal(task.number, int64(1))
+			for _, n := range sim.instances[1:] {
+				if n.self.Ref == task.holder {
+					continue
+				}
+				msg := message.Message{From: n.self.Ref, To: home.self.Ref, Body: message.RunUpdate{Run: run.Ref{Task: task.name, Number: 1}, Status: status, Endpoint: "e"}}
+				sim.input(home, func(m *Machine, out *Output) { m.Receive(sim.now, msg, out) })
+				break
+			}
+			sim.advance(2 * time.Second)
+			is.Equal(sim.observer.starts, 1)
+		})
+	}
+}
