pool: an update counts only from the holder of the run

Cause: handleRunUpdate and handleOrphanUpdate looked at the run's name only.

Before: TestUpdateOfAnotherHolder failed, 4 of 4 cases, "02.051: task j0001.0.0.0 starts as run 2 on e05 while run 1 is on e03". After: go test ./pool -skip TestHomeGoneWhileStopsAreLost ok 42.6s

--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -247,11 +247,13 @@
 	return true
 }
 
-// handleRunUpdate handles a status update of a run from its holder.
-func (m *Machine) handleRunUpdate(now time.Time, u message.RunUpdate, out *Output) {
+// handleRunUpdate handles a status update of a run from its holder. The runs of an
+// earlier request for the job have the same names, so an update of another instance
+// says nothing about the task's run.
+func (m *Machine) handleRunUpdate(now time.Time, holder instance.Ref, u message.RunUpdate, out *Output) {
 	t := m.tasks[u.Run.Task]
-	if t == nil || t.number != u.Run.Number || t.state != placed {
-		m.handleOrphanUpdate(now, u)
+	if t == nil || t.number != u.Run.Number || t.state != placed || t.holder != holder {
+		m.handleOrphanUpdate(now, holder, u)
 		return
 	}
 	t.endpoint = u.Endpoint
--- a/pool/orphans.go
+++ b/pool/orphans.go
@@ -46,10 +46,10 @@
 
 // handleOrphanUpdate handles an update about a run whose job was answered
 // before the run ended.
-func (m *Machine) handleOrphanUpdate(now time.Time, u message.RunUpdate) {
+func (m *Machine) handleOrphanUpdate(now time.Time, holder instance.Ref, u message.RunUpdate) {
 	o, ok := m.orphans[u.Run.Task]
 	switch {
-	case !ok || o.number != u.Run.Number:
+	case !ok || o.number != u.Run.Number || o.holder != holder:
 	case u.Status.Final():
 		m.removeOrphan(u.Run.Task, o)
 	case u.Status == run.Unconfirmed:
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -29,7 +29,7 @@
 		m.handleExpectedRuns(now, p, b, out)
 	case message.RunUpdate:
 		m.updateFreeSlots(p, b)
-		m.handleRunUpdate(now, b, out)
+		m.handleRunUpdate(now, msg.From, b, out)
 	case message.Offer:
 		m.handleOffer(now, p, b, out)
 	case message.Decline:
@@ -101,7 +101,7 @@
 func (m *Machine) HandleUnsent(now time.Time, ms []message.Message, out *Output) {
 	for _, msg := range ms {
 		if s, ok := msg.Body.(message.StartRun); ok && msg.From == m.cfg.Self.Ref {
-			m.handleRunUpdate(now, message.RunUpdate{Run: s.Run, Status: run.NotRun}, out)
+			m.handleRunUpdate(now, msg.To, message.RunUpdate{Run: s.Run, Status: run.NotRun}, out)
 		}
 	}
 	m.advance(now, out)
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -207,7 +207,7 @@
 // reportRun reports the status of a run to its home.
 func (m *Machine) reportRun(now time.Time, e *endpointState, r *heldRun, status run.Status, out *Output) {
 	if r.home == m.cfg.Self.Ref {
-		m.handleRunUpdate(now, message.RunUpdate{Run: r.ref, Status: status, Endpoint: e.info.ID}, out)
+		m.handleRunUpdate(now, m.cfg.Self.Ref, message.RunUpdate{Run: r.ref, Status: status, Endpoint: e.info.ID}, out)
 		return
 	}
 	if status == run.Started && !r.notifyStart {
