pool: a test that a StopRun stops only the sender's run (fails)

stopByRef takes the first run of the name, whichever home it has. After a caller has sent its job again to another instance, both homes may have run 1 of a task at one holder: the first home's StopRun may end the second one's run and leave its own, of which it then hears nothing.

go test ./pool -run TestStopOfAnotherHome identity_test.go:64: 1 != 0 // b has no such run here

--- a/pool/identity_test.go
+++ b/pool/identity_test.go
@@ -53,6 +53,20 @@
 	return message.StartRun{Run: ref, Service: "s", Spec: "x", Needs: needs(1), Estimate: time.Second}
 }
 
+// TestStopOfAnotherHome tests that a home's StopRun stops its own run only, also
+// if a run of the same name belongs to another home: the caller sent its job again
+// there, and the first home stops what it started.
+func TestStopOfAnotherHome(t *testing.T) {
+	is := is.New(t)
+	sim, m, a, b := newHolder(t, 6)
+	at := acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
+	out := receive(sim, m, b, message.StopRun{Run: sameRef})
+	is.Equal(len(out.Stops), 0) // b has no such run here
+	out = receive(sim, m, a, message.StopRun{Run: sameRef})
+	is.Equal(len(out.Stops), 1)
+	is.Equal(out.Stops[0].Endpoint.ID, at)
+}
+
 // TestUpdateOfAnotherHolder tests that a home does not take the update of another
 // instance for one about its run: it may be late and about a run of the same name
 // of an earlier request. The observer fails the test if a second run starts.
