--- a/pool/orphans.go
+++ b/pool/orphans.go
@@ -20,16 +20,19 @@
 	}
 	m.orphans[t.name] = o
 	if t.holder == m.cfg.Self.Ref {
-		m.stopByRef(now, ref, out)
+		m.stopByRef(now, t.holder, ref, out)
 		return
 	}
 	m.send(t.holder, message.StopRun{Run: ref}, out)
 }
 
-// stopByRef stops the run if it is on an endpoint held here.
-func (m *Machine) stopByRef(now time.Time, ref run.Ref, out *Output) {
-	if e, r := m.findRun(ref); r != nil {
-		m.stopOrphan(now, e, r, out)
+// stopByRef stops the home's run if it is on an endpoint held here. Another home
+// may have a run of the same name, since the caller sent its job again there.
+func (m *Machine) stopByRef(now time.Time, home instance.Ref, ref run.Ref, out *Output) {
+	for _, e := range m.held {
+		if r := e.runs[ref]; r != nil && r.home == home {
+			m.stopOrphan(now, e, r, out)
+		}
 	}
 }
 
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -24,7 +24,7 @@
 	case message.StartRun:
 		m.startForPeer(now, p, b, out)
 	case message.StopRun:
-		m.stopByRef(now, b.Run, out)
+		m.stopByRef(now, msg.From, b.Run, out)
 	case message.Runs:
 		m.handleExpectedRuns(now, p, b, out)
 	case message.RunUpdate:
