pool, runner: notice a suspension that the steady clock does not count

- Only a late tick of the steady clock counted.
That clock stops while a machine is suspended, so that a suspension was never noticed.
The runner now compares it with the time since the boot, which counts suspensions.
- Only Tick looked, and only jobs with waiting tasks were ended.
Any input may come first after the process resumes, and a run that ends without success made its task wait again.
The check now comes before any task is placed, and no task of a job that was open during a suspension starts any more.

--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -90,6 +90,9 @@
 		deferred, late bool
 		queued         bool
 		ended          bool
+		// suspended reports that the process was suspended while the job was
+		// open, so that its caller may have submitted it elsewhere.
+		suspended bool
 	}
 
 	// homeTask is a task of a job whose home is this instance.
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -55,6 +55,9 @@
 		// startedAt is when the instance started, and lastTick when Tick was
 		// last called.
 		startedAt, lastTick time.Time
+		// uncounted is how long the machine was suspended since then, as far as
+		// the clock of the inputs does not count it.
+		uncounted time.Duration
 		// tickLate reports that the last tick was late, so missing answers may
 		// be this process's fault.
 		tickLate bool
@@ -272,11 +275,9 @@
 
 // Tick does what is due at the current time.
 func (m *Machine) Tick(now time.Time, out *Output) {
-	if now.Sub(m.lastTick) > suspendThreshold {
-		m.HandleSuspension(now, out)
-	}
+	m.handleSuspension(now, out)
 	m.tickLate = now.Sub(m.lastTick) > tickPeriod+maxTickDelay
-	m.lastTick = now
+	m.lastTick, m.uncounted = now, 0
 	m.expireLostPeers(now, out)
 	m.replaceContacts(now, out)
 	m.forgetReached()
@@ -309,6 +310,7 @@
 // advance performs everything that the last input made possible and schedules
 // the next Tick.
 func (m *Machine) advance(now time.Time, out *Output) {
+	m.handleSuspension(now, out)
 	m.reassign(now, out)
 	m.placeTasks(now, out)
 	m.broadcastStatus(now, out)
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -32,6 +32,10 @@
 		if j.ended || slices.Contains(full, j.Queue.Service) {
 			continue
 		}
+		if j.suspended {
+			m.endSuspendedJob(now, j, out)
+			continue
+		}
 		m.offerMoreUrgent(now, j.Queue.Service, j, out)
 		if !m.placeJob(now, j, out) {
 			full = append(full, j.Queue.Service)
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -16,6 +16,7 @@
 	if !ok || msg.To != m.cfg.Self.Ref {
 		return
 	}
+	m.handleSuspension(now, out)
 	switch b := msg.Body.(type) {
 	case message.Status:
 		m.handleStatus(p, b)
--- a/pool/suspension_test.go
+++ b/pool/suspension_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/run"
 )
 
@@ -19,7 +20,7 @@
 	n := sim.instances[0]
 	first := sim.submit(0, &longQueue, 8*time.Second, Step{Tasks: 1, Needs: needs(16), Estimate: 500 * time.Millisecond})
 	sim.advance(20 * time.Millisecond)
-	second := sim.submit(0, &longQueue, 8*time.Second, Step{Tasks: 1, Needs: needs(16), Estimate: 500 * time.Millisecond})
+	sim.submit(0, &longQueue, 8*time.Second, Step{Tasks: 1, Needs: needs(16), Estimate: 500 * time.Millisecond})
 	is.Equal(len(n.machine.queue), 1) // the second job waits
 	resumedAt := sim.now.Add(2 * time.Second)
 	e := n.machine.held[0]
@@ -30,5 +31,29 @@
 		Ended:     []End{{Number: e.lastEnd + 1, Run: run.Ref{Task: taskName(first.job.ID, 0, 0), Number: 1}, Status: run.Done}},
 	}, out)
 	is.Equal(len(out.Starts), 0) // of the second job
-	_ = second
+}
+
+// TestUncountedSuspension guards against a start after a suspension that the
+// steady clock does not count: neither a task that waited nor one whose run ended
+// starts here, since its caller may have submitted the job elsewhere.
+func TestUncountedSuspension(t *testing.T) {
+	is := is.New(t)
+	sim := newFleet(t, 1, 1, 1, 1)
+	sim.advance(2 * time.Second)
+	n := sim.instances[0]
+	running := sim.submit(0, &longQueue, 8*time.Second, Step{Tasks: 1, Needs: needs(16), Estimate: 500 * time.Millisecond})
+	sim.advance(20 * time.Millisecond)
+	waiting := sim.submit(0, &longQueue, 8*time.Second, Step{Tasks: 1, Needs: needs(16), Estimate: 500 * time.Millisecond})
+	sim.input(n, func(m *Machine, _ *Output) { m.RecordSuspension(2 * time.Second) })
+	ref := run.Ref{Task: taskName(running.job.ID, 0, 0), Number: 1}
+	sim.input(n, func(m *Machine, out *Output) {
+		m.finishRun(sim.now, m.held[0], ref, run.Expired, out)
+		m.advance(sim.now, out)
+	})
+	sim.advance(time.Millisecond)
+	is.Equal(sim.observer.starts, 1)
+	is.Equal(len(waiting.answers), 1)
+	is.Equal(waiting.answers[0].Kind, fault.NotReady)
+	is.Equal(len(running.answers), 1)
+	is.Equal(running.answers[0].Kind, fault.OutcomeUnknown)
 }
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -86,24 +86,37 @@
 	m.enqueueTask(t)
 }
 
-// HandleSuspension handles a suspension of the process. It ends all jobs with
-// waiting tasks: their callers may have retried elsewhere, so these tasks must
-// not start.
-func (m *Machine) HandleSuspension(now time.Time, out *Output) {
-	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+now.Sub(m.lastTick).String())
-	m.lastTick = now
+// RecordSuspension records a suspension of the machine since the last input,
+// which the clock of the inputs does not count.
+func (m *Machine) RecordSuspension(d time.Duration) { m.uncounted += d }
+
+// handleSuspension detects a suspension of the process or the machine. The callers
+// of the open jobs may have retried elsewhere, so that no task of these jobs may
+// start any more.
+func (m *Machine) handleSuspension(now time.Time, out *Output) {
+	stopped := now.Sub(m.lastTick) + m.uncounted
+	if stopped <= suspendThreshold {
+		return
+	}
+	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+stopped.String())
+	m.lastTick, m.uncounted = now, 0
 	for _, j := range m.sortedJobs() {
-		if len(j.waiting) == 0 {
-			continue
-		}
-		if j.mayHaveStarted() {
-			m.endJob(now, j, fault.New(fault.OutcomeUnknown, "the instance stood still"), out)
-			continue
+		j.suspended = true
+		if len(j.waiting) > 0 {
+			m.endSuspendedJob(now, j, out)
 		}
-		m.endJob(now, j, fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second), out)
 	}
 }
 
+// endSuspendedJob ends a job whose waiting tasks must not start.
+func (m *Machine) endSuspendedJob(now time.Time, j *homeJob, out *Output) {
+	if j.mayHaveStarted() {
+		m.endJob(now, j, fault.New(fault.OutcomeUnknown, "the instance stood still"), out)
+		return
+	}
+	m.endJob(now, j, fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second), out)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -165,6 +165,8 @@
 		mu      sync.Mutex
 		machine *pool.Machine
 		out     pool.Output
+		// suspensions measures the suspensions of the machine.
+		suspensions suspensionClock
 		// wake is when the next Tick is due.
 		wake time.Time
 		// calls has the channels for the answers of unanswered submissions, by
@@ -185,6 +187,7 @@
 		listChanges: make(chan endpoint.Change, maxQueuedListChanges),
 		machine:     pool.New(now, pool.Config{Self: cfg.Self, FirstStart: cfg.FirstStart, LeaseTime: cfg.LeaseTime, StopTime: cfg.StopTime}),
 		calls:       map[uint64]chan *fault.Error{},
+		suspensions: newSuspensionClock(now),
 
 		listsRequestedAt: now,
 	}
@@ -266,6 +269,9 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.out.Reset()
+	if d := r.suspensions.observe(now, timeSinceBoot()); d > 0 {
+		r.machine.RecordSuspension(d)
+	}
 	input(now, r.machine, &r.out)
 	r.perform(now)
 }
