pool: play every problem of orders, alone and in pairs

The virtual world knows twelve problems of orders: the answer lost, noticed by a reset or only by the timeout; refused as unhealthy or invalid; lost, noticed by a reset or by the timeout; carried out seconds later, with or without a reset; carried out shortly after a reset; replies and orders that overtake each other; refused connections. A trouble is a problem with a share, for some kinds of orders, and optionally for one endpoint. A sender gets one reply, or Unanswered after the timeout. Without troubles no random draw moves (the same 12 histories as before).

The share is 0.1.

--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -14,7 +14,7 @@
 
 var (
 	// scenarios is the number of random scenarios in TestFailuresTogether, and
-	// firstScenario the seed of the first one.
+	// firstScenario the seed of the first one and of the tests of order troubles.
 	scenarios     = flag.Int("histories", 60, "number of random scenarios to run")
 	firstScenario = flag.Uint64("first-history", 1, "seed of the first random scenario")
 )
--- a/pool/refused_stop_test.go
+++ b/pool/refused_stop_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,14 +14,12 @@
 		t.Run(refusal.String(), func(t *testing.T) {
 			is := is.New(t)
 			sim := startSimulation(t, 1, 1, 2)
-			sim.troubles = []trouble{
-				{startOrder, fate{answerLost: true}},
-				{stopOrder, fate{refused: true, refusal: refusal}},
-			}
+			refuse := problem{refusal.String(), func(f *fate, _ *rand.Rand) { f.refused, f.refusal = true, refusal }}
+			sim.addTrouble(600*time.Millisecond, trouble{problem: answerReset, kinds: []orderKind{startOrder}, share: 1})
+			sim.addTrouble(600*time.Millisecond, trouble{problem: refuse, kinds: []orderKind{stopOrder}, share: 1})
 			c := sim.submit(0, routine, 4*time.Second, step(1, time.Second))
 			sim.advance(600 * time.Millisecond)
 			is.Equal(sim.observer.starts, 1) // the first run is still on
-			sim.troubles = nil
 			sim.advance(2 * time.Second)
 			is.Equal(len(c.answers), 1)
 			is.True(c.answers[0] == nil)
--- a/pool/simulation_orders_test.go
+++ b/pool/simulation_orders_test.go
@@ -1,8 +1,6 @@
 package pool
 
-import (
-	"time"
-)
+import "time"
 
 // delivery is an order on its way from an instance to an endpoint.
 type delivery struct {
@@ -82,19 +80,42 @@
 func (sim *simulation) deliver(d delivery) {
 	if sim.isCutOff(d) {
 		if sim.refuseConnections {
-			sim.after(testOneWayDelay, func() { d.fail(Reply{Outcome: ConnectionRefused}) })
+			sim.refuseConnection(d)
 			return
 		}
 		sim.timeOut(d)
 		return
 	}
 	if sim.rng.Float64() < sim.lateShare {
-		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() { d.carryOut(func(func()) {}) })
+		sim.after(randomLateness(sim.rng), func() { d.carryOut(func(func()) {}) })
 		sim.timeOut(d)
 		return
 	}
 	f := sim.fateOf(d)
-	sim.after(d.transfer+testOneWayDelay, func() {
+	if f == (fate{}) {
+		sim.carryOut(d, f)
+		return
+	}
+	sim.deliverTroubled(sim.withTimeout(d), f)
+}
+
+// deliverTroubled delivers an order to which something happens.
+func (sim *simulation) deliverTroubled(d delivery, f fate) {
+	if f.connectionRefused {
+		sim.refuseConnection(d)
+		return
+	}
+	if f.reset {
+		sim.after(d.transfer+2*testOneWayDelay, func() { d.fail(Reply{Outcome: Unanswered}) })
+	}
+	if !f.lost {
+		sim.carryOut(d, f)
+	}
+}
+
+// carryOut delivers an order to its endpoint and returns the reply.
+func (sim *simulation) carryOut(d delivery, f fate) {
+	sim.after(d.transfer+testOneWayDelay+f.orderDelay, func() {
 		if f.refused && d.to.up {
 			r := d.to.reply(f.refusal)
 			sim.giveBack(d, f, func() { d.fail(r) })
@@ -106,18 +127,22 @@
 
 // giveBack delivers the reply to an order.
 func (sim *simulation) giveBack(d delivery, f fate, give func()) {
-	sim.after(testOneWayDelay, func() {
-		switch {
-		case sim.isCutOff(d):
+	if f.answerLost {
+		return
+	}
+	sim.after(testOneWayDelay+f.replyDelay, func() {
+		if sim.isCutOff(d) {
 			sim.timeOut(d)
-		case f.answerLost:
-			d.fail(Reply{Outcome: Unanswered})
-		default:
-			give()
+			return
 		}
+		give()
 	})
 }
 
+func (sim *simulation) refuseConnection(d delivery) {
+	sim.after(testOneWayDelay, func() { d.fail(Reply{Outcome: ConnectionRefused}) })
+}
+
 // timeOut ends an order that gets no answer.
 func (sim *simulation) timeOut(d delivery) {
 	sim.after(d.timeout, func() { d.fail(Reply{Outcome: Unanswered}) })
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -57,7 +57,7 @@
 		// answered.
 		lateShare float64
 		// troubles are the troubles that orders have now.
-		troubles []trouble
+		troubles []*trouble
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
