pool: mix the problems of orders into the random failures

Each problem of orders is a kind of failure of its own, at all endpoints with a share of 0.1 or at one with 0.5. This moves the random histories of TestFailuresTogether. Since the list grows from 16 to 28 kinds, a given pair of the former kinds is drawn a third as often; 200 scenarios instead of 60 make up for it.

--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -15,7 +15,7 @@
 var (
 	// scenarios is the number of random scenarios in TestFailuresTogether, and
 	// firstScenario the seed of the first one and of the tests of order troubles.
-	scenarios     = flag.Int("histories", 60, "number of random scenarios to run")
+	scenarios     = flag.Int("histories", 200, "number of random scenarios to run")
 	firstScenario = flag.Uint64("first-history", 1, "seed of the first random scenario")
 )
 
@@ -26,7 +26,7 @@
 	inject func(sim *simulation)
 }
 
-var failures = []failure{
+var failures = append([]failure{
 	{"an endpoint crashes", func(sim *simulation) { sim.randomEndpoint().crash(300 * time.Millisecond) }},
 	{"an endpoint is down for long", func(sim *simulation) { sim.randomEndpoint().crash(5 * time.Second) }},
 	{"an endpoint fails all runs", func(sim *simulation) {
@@ -108,7 +108,7 @@
 			}
 		}
 	}},
-}
+}, orderFailures()...)
 
 // partitionDataCentres cuts the network between the two data centres.
 func (sim *simulation) partitionDataCentres(d time.Duration) {
--- a/pool/simulation_troubles_test.go
+++ b/pool/simulation_troubles_test.go
@@ -97,6 +97,22 @@
 	})
 }
 
+// orderFailures are the problems of orders as failures, which concern all
+// endpoints or one of them.
+func orderFailures() []failure {
+	var list []failure
+	for _, p := range problems {
+		list = append(list, failure{p.name, func(sim *simulation) {
+			t := trouble{problem: p, share: 0.1}
+			if sim.rng.IntN(2) == 0 {
+				t.endpoint, t.share = sim.randomEndpoint(), 0.5
+			}
+			sim.addTrouble(4*time.Second, t)
+		}})
+	}
+	return list
+}
+
 // fateOf returns what happens to an order.
 func (sim *simulation) fateOf(d delivery) fate {
 	var f fate
