--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -222,6 +222,7 @@
 	for _, f := range failures {
 		for seed := uint64(1); seed <= 6; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", f.name, seed), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				sim := startSimulation(t, seed, 4, 10)
 				sim.generateLoad(10 * time.Second)
@@ -242,6 +243,7 @@
 func TestFailuresTogether(t *testing.T) {
 	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := startSimulation(t, seed, 4, 10)
 			sim.generateLoad(10 * time.Second)
 			for range 8 {
--- a/pool/order_troubles_test.go
+++ b/pool/order_troubles_test.go
@@ -55,6 +55,7 @@
 // playTroubles checks that no two runs of a task overlap under a load with the
 // given troubles, that nothing is left afterwards, and that most jobs are served.
 func playTroubles(t *testing.T, seed uint64, troubles ...trouble) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, seed, 4, 48)
 	for _, o := range troubles {
--- a/pool/stop_test.go
+++ b/pool/stop_test.go
@@ -14,7 +14,7 @@
 func TestLostStartWithRefusedStops(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
-	sim.troubles = []trouble{{stopOrder, fate{refused: true, refusal: Unhealthy}}}
+	sim.addTrouble(2*time.Second, trouble{problem: refused, kinds: []orderKind{stopOrder}, share: 1})
 	sim.lateShare = 1
 	c := sim.submit(0, routine, 4*time.Second, step(1, 500*time.Millisecond))
 	sim.lateShare = 0
@@ -35,12 +35,11 @@
 	sim.submit(0, routine, 5*time.Second, step(1, time.Second))
 	sim.advance(100 * time.Millisecond)
 	is.Equal(sim.observer.starts, 2)
-	sim.troubles = []trouble{{stopOrder, fate{refused: true, refusal: Unhealthy}}}
+	sim.addTrouble(testRetryDelay, trouble{problem: refused, kinds: []orderKind{stopOrder}, share: 1})
 	sim.disconnectCaller(abandoned)
 	sim.advance(100 * time.Millisecond)
 	sim.submit(0, routine, 5*time.Second, step(1, time.Second)) // would extend the lease
 	sim.advance(testRetryDelay - 100*time.Millisecond)
 	is.Equal(len(sim.observer.running[taskName(abandoned.job.ID, 0, 0)]), 0)
-	sim.troubles = nil
 	sim.checkIdle()
 }
