peer: what waited beyond the read timeout is not delivered

The read deadline is kept beside the timer, and a batch that is read after it ends the stream instead.

Before: TestBatchAfterReadTimeoutIsDropped failed, 3 of 3, "1 != 0". After: go test ./peer -race -count=3 ok 34.7s; go test ./serve ok 17.4s

--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -52,8 +53,11 @@
 		replyDue chan struct{}
 		// closeSend ends this side's direction of the stream.
 		closeSend func() error
-		// readTimer ends the stream after the read timeout.
-		readTimer *time.Timer
+		// readTimer ends the stream after the read timeout, at readDeadline in
+		// nanoseconds since opened.
+		readTimer    *time.Timer
+		opened       time.Time
+		readDeadline atomic.Int64
 		// critical is closed by markCritical; see Config.Critical.
 		critical     chan struct{}
 		markCritical func()
@@ -77,6 +81,7 @@
 		out:       newOutbox(p.cfg.MaxQueued),
 		ctx:       ctx,
 		cancel:    cancel,
+		opened:    time.Now(),
 
 		receiveDone: make(chan struct{}),
 		done:        make(chan struct{}),
@@ -100,6 +105,7 @@
 func (s *stream) run() {
 	s.pool.cfg.Handler.Connected(s.remote)
 	s.readTimer = time.AfterFunc(s.readTimeout(), func() { s.end(errReadTimeout) })
+	s.resetReadTimer()
 	var wg conc.WaitGroup
 	wg.Go(s.receive)
 	wg.Go(s.send)
@@ -124,6 +130,17 @@
 	}
 }
 
+// resetReadTimer makes the read timeout begin now.
+func (s *stream) resetReadTimer() {
+	timeout := s.readTimeout()
+	s.readDeadline.Store(int64(time.Since(s.opened) + timeout))
+	s.readTimer.Reset(timeout)
+}
+
+// readTimedOut reports whether the read timeout has passed. After a suspension of
+// the process, the timer may run later than the goroutine that reads.
+func (s *stream) readTimedOut() bool { return int64(time.Since(s.opened)) > s.readDeadline.Load() }
+
 // updateCritical marks the stream as critical if one of the messages makes it
 // so, and shortens its read timeout.
 func (s *stream) updateCritical(ms []message.Message) {
@@ -135,7 +152,7 @@
 	for _, m := range ms {
 		if s.pool.cfg.Critical(m.Body) {
 			s.markCritical()
-			s.readTimer.Reset(s.readTimeout())
+			s.resetReadTimer()
 			return
 		}
 	}
@@ -155,7 +172,11 @@
 			s.end(err)
 			return
 		}
-		s.readTimer.Reset(s.readTimeout())
+		if s.readTimedOut() {
+			s.end(errReadTimeout)
+			return
+		}
+		s.resetReadTimer()
 		if err := s.deliver(batch); err != nil {
 			s.end(err)
 			return
