--- a/worker/start.go
+++ b/worker/start.go
@@ -118,7 +118,7 @@
 		return Reply{Outcome: endpoint.Lost, Reason: err.Error()}
 	}
 	if int64(len(data)) > c.maxReplyBytes {
-		return replyOfLargeAnswer(res, c.maxReplyBytes)
+		return replyOfLargeAnswer(res, data, c.maxReplyBytes)
 	}
 	var w wireReply
 	if err := json.Unmarshal(data, &w); err != nil {
@@ -154,10 +154,12 @@
 }
 
 // replyOfLargeAnswer returns the reply for a response body larger than the
-// limit. With status 200 the task ran but its answer cannot be returned, so the
-// outcome is Failed; with any other status it is Lost.
-func replyOfLargeAnswer(res *http.Response, limit int64) Reply {
-	if res.StatusCode != http.StatusOK {
+// limit and begins with data. If it says that the task ran, its answer cannot be
+// returned, so the outcome is Failed; otherwise it is Lost.
+func replyOfLargeAnswer(res *http.Response, data []byte, limit int64) Reply {
+	switch outcome(res.StatusCode, firstOutcome(data)) {
+	case endpoint.Answered, endpoint.Failed:
+	default:
 		return Reply{Outcome: endpoint.Lost, Reason: "endpoint replied " + res.Status}
 	}
 	answer := []byte(`{"error":"answer exceeds `)
@@ -166,6 +168,25 @@
 	return Reply{Outcome: endpoint.Failed, Reason: "answer is too large", Answer: answer}
 }
 
+// firstOutcome returns the value of the field outcome, which is the first one of a
+// reply, or an empty string if there is none.
+func firstOutcome(data []byte) string {
+	d := json.NewDecoder(bytes.NewReader(data))
+	var fields [3]json.Token
+	for i := range fields {
+		t, err := d.Token()
+		if err != nil {
+			return ""
+		}
+		fields[i] = t
+	}
+	if fields[0] != json.Delim('{') || fields[1] != "outcome" {
+		return ""
+	}
+	name, _ := fields[2].(string)
+	return name
+}
+
 // readBody reads the whole body, or the first limit+1 bytes if it is larger than
 // the limit.
 func readBody(res *http.Response, limit int64) ([]byte, error) {
