pool: a test that runs of two homes do not replace each other (fails)

e.runs is keyed by task and number. If a second home starts run 1 of the same task on the same endpoint, its record replaces that of the first home: the needs of one are never given back, and the first home never hears of its run's end.

go test ./pool -run TestRunsOfTwoHomesWithOneName identity_test.go:78: 2 != 1 // no slot is lost

No fix is proposed: the endpoint knows only one run of the name, so that the holder must decide whose it is.

--- a/pool/identity_test.go
+++ b/pool/identity_test.go
@@ -67,6 +67,33 @@
 	is.Equal(out.Stops[0].Endpoint.ID, at)
 }
 
+// TestRunsOfTwoHomesWithOneName tests that the runs of two homes with one name
+// do not replace each other on an endpoint: each home hears of its run.
+func TestRunsOfTwoHomesWithOneName(t *testing.T) {
+	is := is.New(t)
+	sim, m, a, b := newHolder(t, 1)
+	id := acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
+	receive(sim, m, b, startOf(sameRef))
+	e := m.endpoints[id]
+	is.Equal(e.used.Cores, float64(len(e.runs))) // no slot is lost
+	out := &Output{}
+	m.finishRun(sim.now, e, sameRef, run.Stopped, out)
+	informed := map[instance.Ref]bool{}
+	for _, msg := range append(out.Messages, m.outputOfEnd(sim.now, e)...) {
+		if _, ok := msg.Body.(message.RunUpdate); ok {
+			informed[msg.To] = true
+		}
+	}
+	is.True(informed[a]) // the home whose run was there first hears of its end
+}
+
+// outputOfEnd ends any further run of the name and returns the messages.
+func (m *Machine) outputOfEnd(now time.Time, e *endpointState) []message.Message {
+	out := &Output{}
+	m.finishRun(now, e, sameRef, run.Stopped, out)
+	return out.Messages
+}
+
 // TestUpdateOfAnotherHolder tests that a home does not take the update of another
 // instance for one about its run: it may be late and about a run of the same name
 // of an earlier request. The observer fails the test if a second run starts.
