pool: keep the runs of two homes with one name apart

Runs are named by task and number, and the numbers begin at 1 at each home. If a caller sent its job again elsewhere while a run of the earlier request was still on an endpoint, the run of the second home replaced the first one's record: its needs were never given back, its home never heard of its end, and the endpoint took the two for one run.

A holder that has a run of the same name answers Unconfirmed, so that the second home waits for a lease. The home itself does the same.

TestRunsOfTwoHomesWithOneName failed before ("2 != 1 // no slot is lost").

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -90,6 +90,10 @@
 		assignRun(t, &s)
 		t.holder = m.cfg.Self.Ref
 		t.endpoint = e.info.ID
+		if _, other := m.findRun(s.Run); other != nil {
+			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration())) // see startForPeer
+			return true
+		}
 		m.startRun(now, e, m.cfg.Self.Ref, s, out)
 		return true
 	}
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -70,6 +70,12 @@
 		}, out)
 		return
 	}
+	if _, other := m.findRun(s.Run); other != nil {
+		// An earlier request for the job, at another home, has a run of the same
+		// name, which must end first.
+		m.send(p.info.Ref, message.RunUpdate{Run: s.Run, Status: run.Unconfirmed, Endpoint: e.info.ID}, out)
+		return
+	}
 	m.startRun(now, e, p.info.Ref, s, out)
 }
 
