pool: continue the run numbers when a caller sends a job again

The runs of a job that was sent again to the same home began at number 1 again. A holder that was asked for run 1 of the later request, whose start was lost with the stream, answered with the end of run 1 of the earlier one, kept for 10 s: done, though this run never began.

The platform's page asks that numbers begin at 1 and rise, which still holds. Weighed: ends kept by request as well as by name, which no message carries.

--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -100,7 +100,8 @@
 		job         *homeJob
 		step, index int
 		name        string
-		// number is the number of the last run; zero before the first.
+		// number is the number of the last run of the task; zero before the
+		// first. It includes the runs of an earlier request for the job here.
 		number   int64
 		failures int
 		state    taskState
@@ -157,13 +158,14 @@
 	h.goal = now.Add(goal)
 	h.startBy = h.goal.Add(-chain)
 	h.expiresAt = now.Add(lateFactor * goal)
+	lastNumber := m.runNumbers.byJob[j.ID]
 	if m.draining {
 		h.Deadline = earlier(h.Deadline, m.stopsAt)
 	}
 	for i, s := range j.Steps {
 		tasks := make([]*homeTask, s.Tasks)
 		for index := range tasks {
-			tasks[index] = &homeTask{job: h, step: i, index: index, name: taskName(j.ID, i, index)}
+			tasks[index] = &homeTask{job: h, step: i, index: index, name: taskName(j.ID, i, index), number: lastNumber}
 		}
 		h.steps = append(h.steps, tasks)
 		h.unfinishedByStep = append(h.unfinishedByStep, s.Tasks)
@@ -314,14 +316,17 @@
 	if m.parked[j.ID] == j {
 		delete(m.parked, j.ID)
 	}
+	lastNumber := int64(0)
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
+			lastNumber = max(lastNumber, t.number)
 			delete(m.tasks, t.name)
 			if t.state == placed {
 				m.abandonRun(now, t, out)
 			}
 		}
 	}
+	m.runNumbers.record(now, j.ID, lastNumber)
 	m.logAnswer(now, j, f, out)
 	out.Answers = append(out.Answers, Answer{Call: j.call, Fault: f})
 }
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -117,6 +117,8 @@
 		// orphans are runs whose jobs were answered before the runs ended, by
 		// task name.
 		orphans map[string]orphan
+		// runNumbers are the last run numbers of recently ended jobs.
+		runNumbers runNumbers
 		// parked are jobs that wait for orphaned runs of the same job ID to
 		// end, by ID.
 		parked map[string]*homeJob
@@ -153,6 +155,7 @@
 		neighbourhood: neighbourhood{awaitedSince: map[string]time.Time{}, failedAt: map[string]time.Time{}},
 		orphans:       map[string]orphan{},
 		parked:        map[string]*homeJob{},
+		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
 		typicalNeeds:  map[string]task.Needs{},
 		answerTimes:   newAnswerTimes(),
@@ -286,6 +289,7 @@
 	m.expireOffers(now)
 	m.expireOrphans(now)
 	m.expireReportedEnds(now)
+	m.runNumbers.expire(now)
 	m.reassignNeeded = true
 	for _, e := range slices.Clone(m.held) {
 		m.maintain(now, e, out)
