pool: don't carry out a start that waited during a suspension

A holder that stood still for longer than its home's 2.1 s (0.8 s of silence, 0.25 s to reconnect, 1.05 s of lease) finds the home's start still unread on the old stream and carried it out, while the task may have started elsewhere. For 300 ms after a suspension, starts for peers are answered as not run. Package peer drops what it reads after the read timeout; this covers also a suspension that the steady clock, and so that timeout, does not count.

Weighed: ending all streams after a suspension, which would load a machine that is only overloaded with a new set of streams.

--- a/pool/machine.go
+++ b/pool/machine.go
@@ -28,6 +28,9 @@
 	// counts as having been suspended. It is well below the time after which a
 	// caller retries elsewhere.
 	suspendThreshold = 600 * time.Millisecond
+	// resumeTime is how long after a suspension messages may be read that waited
+	// on the streams meanwhile.
+	resumeTime = 300 * time.Millisecond
 	// maxLoggedEndpoints is the number of endpoints up to which each one that is
 	// added to the list has a log line.
 	maxLoggedEndpoints = 8
@@ -58,6 +61,9 @@
 		// uncounted is how long the machine was suspended since then, as far as
 		// the clock of the inputs does not count it.
 		uncounted time.Duration
+		// resumedAt is when the last suspension was noticed; zero if there was
+		// none.
+		resumedAt time.Time
 		// tickLate reports that the last tick was late, so missing answers may
 		// be this process's fault.
 		tickLate bool
--- a/pool/suspension_test.go
+++ b/pool/suspension_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
 )
 
@@ -57,3 +58,17 @@
 	is.Equal(len(running.answers), 1)
 	is.Equal(running.answers[0].Kind, fault.OutcomeUnknown)
 }
+
+// TestStartReadAfterSuspension tests that a holder that was suspended does not
+// carry out a start that waited on its stream meanwhile: its home counts it as
+// lost and may have started the task elsewhere.
+func TestStartReadAfterSuspension(t *testing.T) {
+	is := is.New(t)
+	sim, m, a, _ := newHolder(t, 6)
+	out := &Output{}
+	resumed := sim.now.Add(2500 * time.Millisecond)
+	for range 2 {
+		m.Receive(resumed, message.Message{From: a, To: m.cfg.Self.Ref, Body: startOf(sameRef)}, out)
+	}
+	is.Equal(len(out.Starts), 0)
+}
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -99,7 +99,7 @@
 		return
 	}
 	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+stopped.String())
-	m.lastTick, m.uncounted = now, 0
+	m.lastTick, m.uncounted, m.resumedAt = now, 0, now
 	for _, j := range m.sortedJobs() {
 		j.suspended = true
 		if len(j.waiting) > 0 {
