pool: random failures with long runs and endpoints that are up for an hour

The clocks of the virtual endpoints began with each scenario, so that a start that came seconds late on a new boot was mostly refused as late: its lease end was on the clock of the earlier boot, only seconds ahead of the new one. They now are up for an hour at first. No run lasted until a late order came either; TestFailuresTogetherLongRuns adds runs of up to 6 s.

--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -162,6 +162,21 @@
 	next()
 }
 
+// generateLongRuns submits jobs with small tasks of up to 6 s for the given time.
+func (sim *simulation) generateLongRuns(d time.Duration) {
+	end := sim.now.Add(d)
+	var next func()
+	next = func() {
+		if sim.now.After(end) {
+			return
+		}
+		estimate := time.Second + time.Duration(sim.rng.Int64N(int64(5*time.Second)))
+		sim.submit(sim.rng.IntN(len(sim.instances)), &longQueue, 20*time.Second, Step{Tasks: 1 + sim.rng.IntN(2), Needs: needs(1), Estimate: estimate})
+		sim.after(time.Duration(sim.rng.Int64N(int64(300*time.Millisecond))), next)
+	}
+	next()
+}
+
 // checkIdle checks the invariants that hold once all failures are over and no
 // jobs are open.
 func (sim *simulation) checkIdle() {
@@ -246,16 +261,36 @@
 			t.Parallel()
 			sim := startSimulation(t, seed, 4, 10)
 			sim.generateLoad(10 * time.Second)
-			for range 8 {
-				f := failures[sim.rng.IntN(len(failures))]
-				sim.after(time.Duration(sim.rng.Int64N(int64(9*time.Second))), func() { f.inject(sim) })
-			}
+			sim.injectTogether()
 			sim.advance(10 * time.Second)
 			sim.checkIdle()
 		})
 	}
 }
 
+// TestFailuresTogetherLongRuns is like TestFailuresTogether with runs that still
+// run when orders are carried out late.
+func TestFailuresTogetherLongRuns(t *testing.T) {
+	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := startSimulation(t, seed, 4, 10)
+			sim.generateLoad(10 * time.Second)
+			sim.generateLongRuns(10 * time.Second)
+			sim.injectTogether()
+			sim.advance(26 * time.Second)
+			sim.checkIdle()
+		})
+	}
+}
+
+// injectTogether injects eight random failures at random times.
+func (sim *simulation) injectTogether() {
+	for range 8 {
+		f := failures[sim.rng.IntN(len(failures))]
+		sim.after(time.Duration(sim.rng.Int64N(int64(9*time.Second))), func() { f.inject(sim) })
+	}
+}
+
 // TestResetStreams tests that a reset stream that is opened again ends no run.
 func TestResetStreams(t *testing.T) {
 	is := is.New(t)
--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -68,6 +68,8 @@
 	}
 	e.info.Size.MemoryBytes = 64 << 30
 	e.boot()
+	e.startedAt = e.startedAt.Add(-time.Hour) // its clock is ahead of that of its next boot
+	e.info.StartedAt = e.startedAt
 	return e
 }
 
