--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -231,6 +231,13 @@
 	return list
 }
 
+// listEndpoints gives all instances the platform's current list.
+func (sim *simulation) listEndpoints() {
+	for _, n := range sim.instances {
+		sim.input(n, func(m *Machine, out *Output) { m.SetEndpoints(sim.now, sim.listedEndpoints(), out) })
+	}
+}
+
 // connect opens the stream between two instances if they can reach each other.
 func (sim *simulation) connect(a, b *fakeInstance) {
 	if !a.neighbours[b.self.ID] && !b.neighbours[a.self.ID] {
