pool: take a new fencing token when an endpoint has restarted

A start that was given up may be carried out seconds later. If the endpoint has started again under its id meanwhile, the new boot knows neither the stop nor a higher token, and the start's deadline was on the earlier boot's clock, usually far ahead of the new one. The holder went on with its token after a poll had revealed the new boot, so that such a start ran beside the task's next run.

The holder now takes a new token at once and polls with it, which fences all orders that were sent before. Replies to starts under way are dropped; these runs are stopped as unanswered.

--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -273,6 +273,7 @@
 func TestFailuresTogetherLongRuns(t *testing.T) {
 	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := startSimulation(t, seed, 4, 10)
 			sim.generateLoad(10 * time.Second)
 			sim.generateLongRuns(10 * time.Second)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -130,7 +130,7 @@
 	}
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
-		e.adoptNewBoot(now, m.cfg.LeaseTime)
+		m.adoptNewBoot(now, e, out)
 	}
 	e.info.StartedAt = reply.StartedAt
 	e.ackedEnd = max(e.ackedEnd, min(reply.LastEnd, e.lastEnd))
@@ -150,10 +150,14 @@
 
 // adoptNewBoot handles an answer from another boot of the endpoint, whose ends
 // and clock start from zero. Its list lacks the runs of the earlier boot and
-// has those that were started since.
-func (e *endpointState) adoptNewBoot(now time.Time, lease time.Duration) {
+// has those that were started since. A new token fences the starts sent to the
+// earlier boot: they may arrive late, and the new boot's clock does not refuse
+// them.
+func (m *Machine) adoptNewBoot(now time.Time, e *endpointState, out *Output) {
 	e.lastEnd, e.ackedEnd = 0, 0
-	e.maxLeaseEnd = e.clock.latest(now) + lease
+	e.maxLeaseEnd = e.clock.latest(now) + m.cfg.LeaseTime
+	e.token = m.newToken(now, e)
+	m.pollImmediately(now, e, out)
 }
 
 // recordAnswer records when an endpoint last answered, and the clock that it
