pool: an endpoint that refuses all orders counts as silent

A refused poll renews no lease, but it counted as an answer: the holder neither counted the lease as expired nor stopped moving its latest end. Since a refused stop proves nothing any more, the task of a run on an endpoint that refuses everything waited until the endpoint recovered or the job's deadline.

Orders refused as unhealthy or invalid no longer count as answers, only their clock does.

--- a/pool/poll.go
+++ b/pool/poll.go
@@ -161,9 +161,12 @@
 }
 
 // recordAnswer records when an endpoint last answered, and the clock that it
-// reported.
+// reported. An endpoint that refuses orders has not renewed its lease, so that it
+// counts as silent.
 func (m *Machine) recordAnswer(now time.Time, e *endpointState, reply Reply) {
-	e.unansweredSince = now
+	if reply.Outcome != Unhealthy && reply.Outcome != Invalid {
+		e.unansweredSince = now
+	}
 	if reply.Clock > 0 && !reply.Sent.Before(e.bootSince) {
 		e.clock = clock{reading: reply.Clock, sent: reply.Sent, received: now}
 	}
