pool: let the lease end any run whose stop stays refused

A hung run whose stops alone are refused was kept alive for ever, since it is not orphaned and other orders are answered.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -43,6 +43,9 @@
 	// stopMargin is the time after StopTime at which an accepted stop counts as
 	// complete.
 	stopMargin = 30 * time.Millisecond
+	// maxStopDelay is how long a stop may be refused or unanswered before the
+	// lease of the endpoint is left to end. It spans several repeated stops.
+	maxStopDelay = silenceTimeout
 	// ackDelay is how long the acknowledgement of an ended run waits for the
 	// next poll when nothing runs any more. Under load, it thus needs no poll
 	// of its own.
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -207,7 +207,7 @@
 	if !e.active || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
-	if e.hasUnstoppedOrphan(now.Add(-minAnswerTimeout)) {
+	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
 		return false // a start would extend the lease
 	}
 	usable, probation := e.health.usable(now)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -67,11 +67,9 @@
 }
 
 // renewsLease reports whether the lease should be renewed: the endpoint answers
-// and runs something that is not orphaned, and it has accepted the stops of all
-// orphaned runs. The lease ends an orphaned run that can't be stopped before its
-// caller, which may have resubmitted the job elsewhere, gets another run.
+// and runs something that is not orphaned, and no stop is overdue.
 func (m *Machine) renewsLease(now time.Time, e *endpointState) bool {
-	if e.silent(now) || e.hasUnstoppedOrphan(now) {
+	if e.silent(now) || e.hasOverdueStop(now) {
 		return false
 	}
 	for _, r := range e.runs {
@@ -82,11 +80,20 @@
 	return false
 }
 
-// hasUnstoppedOrphan reports whether the endpoint has an orphaned run whose stop
-// was requested at the given time or earlier and is not accepted.
-func (e *endpointState) hasUnstoppedOrphan(requested time.Time) bool {
+// hasOverdueStop reports whether the lease has to end a run whose stop is not
+// accepted and was overdue at the given time. That of an orphaned run is overdue at
+// once, so that the lease ends before its caller, which may have resubmitted the
+// job elsewhere, gets another run.
+func (e *endpointState) hasOverdueStop(at time.Time) bool {
 	for _, r := range e.runs {
-		if r.orphaned && r.stopAcceptedAt.IsZero() && !r.stopRequestedAt.After(requested) {
+		if r.stopRequestedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
+			continue
+		}
+		due := r.stopRequestedAt
+		if !r.orphaned {
+			due = due.Add(maxStopDelay)
+		}
+		if !at.Before(due) {
 			return true
 		}
 	}
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -119,6 +119,7 @@
 	default:
 		// A refused stop had no effect. maintainRun repeats it.
 		m.recordAnswer(now, e, reply.Reply)
+		e.health.backOff(now)
 	}
 	m.advance(now, out)
 }
