pool: no run of a task beside one of another home at the same holder

The check of runs of two homes compared task and number. The second home waited for a lease and then asked with the next number, which was started beside the first home's run. And a home that asked for a run whose start was lost with the stream heard nothing if another home had a run of that name.

A holder compares the tasks, and looks for a run of the asking home only; it answers Unconfirmed while it has a run of the task for another home.

--- a/pool/orphans.go
+++ b/pool/orphans.go
@@ -36,15 +36,26 @@
 	}
 }
 
-// findRun returns the run and its endpoint if the endpoint is held here, or
-// nil.
-func (m *Machine) findRun(ref run.Ref) (*endpointState, *heldRun) {
+// hasRun reports whether an endpoint held here has the home's run.
+func (m *Machine) hasRun(ref run.Ref, home instance.Ref) bool {
+	return slices.ContainsFunc(m.held, func(e *endpointState) bool {
+		r := e.runs[ref]
+		return r != nil && r.home == home
+	})
+}
+
+// hasRunOfOtherHome reports whether an endpoint held here has a run of the task
+// for another home, which handled an earlier request for the job. That run must
+// end first, and the two may have the same number.
+func (m *Machine) hasRunOfOtherHome(task string, home instance.Ref) bool {
 	for _, e := range m.held {
-		if r := e.runs[ref]; r != nil {
-			return e, r
+		for ref, r := range e.runs {
+			if ref.Task == task && r.home != home {
+				return true
+			}
 		}
 	}
-	return nil, nil
+	return false
 }
 
 // handleOrphanUpdate handles an update about a run whose job was answered
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -90,8 +90,8 @@
 		assignRun(t, &s)
 		t.holder = m.cfg.Self.Ref
 		t.endpoint = e.info.ID
-		if _, other := m.findRun(s.Run); other != nil {
-			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration())) // see startForPeer
+		if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
+			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
 			return true
 		}
 		m.startRun(now, e, m.cfg.Self.Ref, s, out)
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -76,9 +76,7 @@
 		}, out)
 		return
 	}
-	if _, other := m.findRun(s.Run); other != nil {
-		// An earlier request for the job, at another home, has a run of the same
-		// name, which must end first.
+	if m.hasRunOfOtherHome(s.Run.Task, p.info.Ref) {
 		m.send(p.info.Ref, message.RunUpdate{Run: s.Run, Status: run.Unconfirmed, Endpoint: e.info.ID}, out)
 		return
 	}
--- a/pool/reconcile.go
+++ b/pool/reconcile.go
@@ -70,11 +70,11 @@
 		}
 	}
 	for _, ref := range b.Runs {
-		if _, r := m.findRun(ref); r != nil {
+		if m.hasRun(ref, home) {
 			continue
 		}
 		u := message.RunUpdate{Run: ref, Status: run.Unconfirmed}
-		if p.reconnected {
+		if p.reconnected && !m.hasRunOfOtherHome(ref.Task, home) {
 			u.Status = run.NotRun // the start was lost with the stream
 		}
 		for _, end := range m.reportedEnds[home] {
