pool: blame no endpoint for answers that waited during a suspension

Tick set tickLate after handleSuspension had set the time of the last tick, so that the first tick after a suspension did not count as late: starts whose answers waited unread counted as unanswered, and their runs were stopped. A job that was open during a suspension starts no task again, so that it ended with an unknown outcome.

--- a/pool/machine.go
+++ b/pool/machine.go
@@ -284,8 +284,8 @@
 
 // Tick does what is due at the current time.
 func (m *Machine) Tick(now time.Time, out *Output) {
+	m.tickLate = now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
 	m.handleSuspension(now, out)
-	m.tickLate = now.Sub(m.lastTick) > tickPeriod+maxTickDelay
 	m.lastTick, m.uncounted = now, 0
 	m.expireLostPeers(now, out)
 	m.replaceContacts(now, out)
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -100,6 +100,7 @@
 	}
 	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+stopped.String())
 	m.lastTick, m.uncounted, m.resumedAt = now, 0, now
+	m.tickLate = true
 	for _, j := range m.sortedJobs() {
 		j.suspended = true
 		if len(j.waiting) > 0 {
