pool: refuse requests that waited during a long suspension

A job whose request was the first input after a suspension was started or ended by chance. It may have waited unread, and its caller may have submitted the job elsewhere. For 300 ms after a suspension of a second or more such requests are refused as not run, with a time to come back; shorter ones are below the 1.3 s that a caller waits, so that neither requests nor starts of peers are refused after them.

--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -129,6 +129,7 @@
 // Submit handles a new job. The job is answered once, under the given call
 // number.
 func (m *Machine) Submit(now time.Time, call uint64, j Job, out *Output) {
+	m.handleSuspension(now, out)
 	if previous := m.jobs[j.ID]; previous != nil {
 		// The caller sent the job again, so nothing waits for the earlier
 		// request.
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -28,8 +28,12 @@
 	// counts as having been suspended. It is well below the time after which a
 	// caller retries elsewhere.
 	suspendThreshold = 600 * time.Millisecond
-	// resumeTime is how long after a suspension messages may be read that waited
-	// on the streams meanwhile.
+	// longSuspension is the shortest suspension after which a request or a start
+	// that waited unread may have been sent elsewhere. A caller waits 1.3 s before
+	// that, and a home longer.
+	longSuspension = time.Second
+	// resumeTime is how long after a long suspension such requests and starts may
+	// still be read.
 	resumeTime = 300 * time.Millisecond
 	// maxLoggedEndpoints is the number of endpoints up to which each one that is
 	// added to the list has a log line.
@@ -61,8 +65,8 @@
 		// uncounted is how long the machine was suspended since then, as far as
 		// the clock of the inputs does not count it.
 		uncounted time.Duration
-		// resumedAt is when the last suspension was noticed; zero if there was
-		// none.
+		// resumedAt is when the last long suspension was noticed; zero if there
+		// was none.
 		resumedAt time.Time
 		// tickLate reports that the last tick was late, so missing answers may
 		// be this process's fault.
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -52,12 +52,6 @@
 	}
 }
 
-// recentlyResumed reports whether a start may have waited on its stream during a
-// suspension, so that its home has given it up.
-func (m *Machine) recentlyResumed(now time.Time) bool {
-	return !m.resumedAt.IsZero() && now.Sub(m.resumedAt) < resumeTime
-}
-
 // startForPeer starts a task for a peer, or reports at once that it was not
 // run.
 func (m *Machine) startForPeer(now time.Time, p *peer, s message.StartRun, out *Output) {
--- a/pool/resume_test.go
+++ b/pool/resume_test.go
@@ -6,16 +6,25 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/run"
 )
 
-// TestSubmitAfterSuspension tests that a job that arrives after a suspension is not
-// ended by it, though its submission is the first input that notices it.
+// TestSubmitAfterSuspension tests that a request that may have waited unread during
+// a suspension is refused, since its caller may have submitted the job elsewhere,
+// and that later ones are served.
 func TestSubmitAfterSuspension(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	n := sim.instances[0]
 	sim.input(n, func(m *Machine, _ *Output) { m.RecordSuspension(2 * time.Second) })
+	for range 2 {
+		c := sim.submit(0, routine, 4*time.Second, step(1, 100*time.Millisecond))
+		is.Equal(len(c.answers), 1)
+		is.Equal(c.answers[0].Kind, fault.NotReady)
+	}
+	sim.advance(resumeTime)
+	is.Equal(sim.observer.starts, 0)
 	c := sim.submit(0, routine, 4*time.Second, step(1, 100*time.Millisecond))
 	sim.advance(200 * time.Millisecond)
 	is.Equal(sim.observer.starts, 1)
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -99,7 +99,10 @@
 		return
 	}
 	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+stopped.String())
-	m.lastTick, m.uncounted, m.resumedAt = now, 0, now
+	m.lastTick, m.uncounted = now, 0
+	if stopped >= longSuspension {
+		m.resumedAt = now
+	}
 	m.tickLate = true
 	for _, j := range m.sortedJobs() {
 		j.suspended = true
@@ -109,6 +112,12 @@
 	}
 }
 
+// recentlyResumed reports whether a request or a start may have waited unread
+// during a suspension, so that it was sent elsewhere.
+func (m *Machine) recentlyResumed(now time.Time) bool {
+	return !m.resumedAt.IsZero() && now.Sub(m.resumedAt) < resumeTime
+}
+
 // endSuspendedJob ends a job whose waiting tasks must not start.
 func (m *Machine) endSuspendedJob(now time.Time, j *homeJob, out *Output) {
 	if j.mayHaveStarted() {
