pool: fence a new boot also while an immediate poll is pending

After a restart the holder polls with a new token, but sent no such poll while one with the earlier token was pending, so that the earlier token stayed valid if no other poll followed.

TestNewBootIsFencedBesideImmediatePoll, found by the reviewer, failed before ("pending true: 0 polls with the new token") and passes now.

--- a/pool/poll.go
+++ b/pool/poll.go
@@ -164,6 +164,7 @@
 	e.lastEnd, e.ackedEnd = 0, 0
 	e.maxLeaseEnd = e.clock.latest(now) + m.cfg.LeaseTime
 	e.token = m.newToken(now, e)
+	e.immediatePolling = false // a pending poll has the earlier token
 	m.pollImmediately(now, e, out)
 }
 
