pool: an input that notices a suspension keeps the starts whose answers wait

If another input than a tick noticed the suspension, the tick just after it was not late, and a poll's reply was handled before the check. Both stopped starts whose answers still waited unread, and their jobs ended with an unknown outcome.

TestTickAfterResumingInput, of the reviewer and with a poll's reply added, failed before ("1 != 0" stops) and passes now. The tests of pool pass but for TestPowerLossWhileStopsAreLost.

--- a/pool/machine.go
+++ b/pool/machine.go
@@ -65,6 +65,8 @@
 		// uncounted is how long the machine was suspended since then, as far as
 		// the clock of the inputs does not count it.
 		uncounted time.Duration
+		// resumed reports that a suspension was noticed since the last tick.
+		resumed bool
 		// resumedAt is when the last long suspension was noticed; zero if there
 		// was none.
 		resumedAt time.Time
@@ -288,8 +290,9 @@
 
 // Tick does what is due at the current time.
 func (m *Machine) Tick(now time.Time, out *Output) {
-	m.tickLate = now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
 	m.handleSuspension(now, out)
+	m.tickLate = m.resumed || now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
+	m.resumed = false
 	m.lastTick, m.uncounted = now, 0
 	m.expireLostPeers(now, out)
 	m.replaceContacts(now, out)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -102,6 +102,7 @@
 
 // HandlePollReply handles an endpoint's reply to a poll.
 func (m *Machine) HandlePollReply(now time.Time, reply PollReply, out *Output) {
+	m.handleSuspension(now, out)
 	e, ok := m.endpoints[reply.Endpoint]
 	if !ok {
 		return
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -165,7 +165,7 @@
 // are, the cause is this instance or its links, so that it waits longer.
 func (m *Machine) startUnanswered(now time.Time, r *heldRun) bool {
 	waited := now.Sub(r.sentAt)
-	if waited < m.answerTimes.timeout() || m.tickLate {
+	if waited < m.answerTimes.timeout() || m.tickLate || m.resumed {
 		return false
 	}
 	return m.answerTimes.mayRestart() || waited >= maxAnswerTimeout
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -86,8 +86,8 @@
 	m.enqueueTask(t)
 }
 
-// RecordSuspension records a suspension of the machine since the last input,
-// which the clock of the inputs does not count.
+// RecordSuspension records a suspension of the machine since the last input, which
+// the clock of the inputs does not count. It adds to the time without a tick.
 func (m *Machine) RecordSuspension(d time.Duration) { m.uncounted += d }
 
 // handleSuspension detects a suspension of the process or the machine. The callers
@@ -103,7 +103,7 @@
 	if stopped >= longSuspension {
 		m.resumedAt = now
 	}
-	m.tickLate = true
+	m.resumed = true
 	for _, j := range m.sortedJobs() {
 		j.suspended = true
 		if len(j.waiting) > 0 {
