pool: a run that an earlier boot may have started is not one that never began

Runs that are known when a new boot is seen count as stopped, not as never begun, unless the endpoint lists their end.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -125,6 +125,9 @@
 		sentAt   time.Time
 		// until is when the start is refused as late, on the endpoint's clock.
 		until time.Duration
+		// maySpanBoots reports that the start may have reached an earlier boot of
+		// the endpoint than the present one.
+		maySpanBoots bool
 		// startedAt is when the endpoint accepted the run; zero before.
 		startedAt time.Time
 		// stopRequestedAt is when a stop was first requested, stopSentAt when
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -163,6 +163,9 @@
 // them.
 func (m *Machine) adoptNewBoot(now time.Time, e *endpointState, out *Output) {
 	e.lastEnd, e.ackedEnd = 0, 0
+	for _, r := range e.runs {
+		r.maySpanBoots = true
+	}
 	e.maxLeaseEnd = e.clock.latest(now) + m.cfg.LeaseTime
 	e.token = m.newToken(now, e)
 	e.immediatePolling = false // a pending poll has the earlier token
@@ -207,21 +210,21 @@
 			r.progress.observe(now, percent)
 		case !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(reply.Sent):
 			// The run is neither running nor among the ended runs.
-			m.concludeRun(now, e, r, r.stoppedStatus(), absentAfterStop, out)
+			m.concludeRun(now, e, r, r.absentStatus(), absentAfterStop, out)
 		case !r.startedAt.IsZero() && r.startedAt.Before(reply.Sent):
 			m.concludeRun(now, e, r, run.Expired, absentAfterStart, out)
 		case r.startedAt.IsZero() && r.sentAt.Before(reply.Sent) && reply.Clock > r.until:
 			// Even if its stop is refused, the start can no longer begin it.
-			m.concludeRun(now, e, r, run.NotRun, absentAfterDeadline, out)
+			m.concludeRun(now, e, r, r.absentStatus(), absentAfterDeadline, out)
 		}
 	}
 }
 
-// stoppedStatus returns the status of a stopped run that the endpoint lists
-// neither as running nor as ended. If its start was never confirmed, it never
-// began; otherwise it would be listed.
-func (r *heldRun) stoppedStatus() run.Status {
-	if r.startedAt.IsZero() {
+// absentStatus returns the status of a run that can't begin any more and that the
+// endpoint lists neither as running nor as ended. If its start was never confirmed,
+// it never began; otherwise it would be listed, unless an earlier boot ran it.
+func (r *heldRun) absentStatus() run.Status {
+	if r.startedAt.IsZero() && !r.maySpanBoots {
 		return run.NotRun
 	}
 	return run.Stopped
