--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
@@ -66,6 +67,8 @@
 		lastJob           int
 		// messages counts the messages between instances.
 		messages int
+		// log has the events of all instances.
+		log []event.Record
 	}
 
 	fakeInstance struct {
@@ -282,6 +285,7 @@
 }
 
 func (sim *simulation) perform(n *fakeInstance, out *Output) {
+	sim.log = append(sim.log, out.Events...)
 	for _, a := range out.Answers {
 		sim.handleAnswer(n, a)
 	}
