logline: end although the reader of standard output stalls

Write did not, but Run, which an instance waits for at its end, waited for the reader of standard output for as long as it stalled, so that a planned stop ended only with a SIGKILL.

Change: Run returns 150 ms after its end at the latest. TestStalledReader tests the rest: no write waits, the buffers stay at their bound, and the number of dropped events is written once the reader reads again.

Ruled out: a deadline on the stream, which a pipe given as standard output need not support.

--- a/logline/writer.go
+++ b/logline/writer.go
@@ -21,6 +21,9 @@
 	// second of lines at a few thousand jobs per second.
 	maxOrdinaryLines = 4096
 	maxUrgentLines   = 4096
+	// endTimeout is how long the last lines may take to be written. An instance
+	// exits 250 ms before the end of its grace period.
+	endTimeout = 150 * time.Millisecond
 )
 
 type (
@@ -69,9 +72,26 @@
 }
 
 // Run writes the buffered lines to the stream periodically until ctx is done,
-// and the remaining lines at the end. It ignores errors of the stream, since
-// there is no other place to report them.
+// and the remaining lines at the end. If the stream stalls then, Run returns
+// after endTimeout, and the write goes on in the background. Run ignores errors
+// of the stream, since there is no other place to report them.
 func (w *Writer) Run(ctx context.Context, stream io.Writer) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.writeBatches(ctx, stream)
+	}()
+	<-ctx.Done()
+	timer := time.NewTimer(endTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+}
+
+// writeBatches writes a batch in each flushInterval until ctx is done.
+func (w *Writer) writeBatches(ctx context.Context, stream io.Writer) {
 	ticker := time.NewTicker(flushInterval)
 	defer ticker.Stop()
 	for {
