platform, runner: log and count submissions that are refused before they become jobs

Cause: a submission refused for its body, its path or a missing configuration (LC1001, LC1002, LC1016, LC1026, LC1027) left neither a line nor a metric, so the request's id led nowhere; and a job whose caller left had a line (LC1015) but was missing in lovagecrank_answer_seconds.

No decision and no answer changes.

Ruled out: a line for requests without an id and for GET and DELETE, such as the probes that test which configuration is in force.

Not covered: an answer with a state (LC1005, LC1013, LC1015) still has no code in its body, since the platform sets the form of that body.

--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -76,6 +76,13 @@
 	s.answers.WithLabelValues(queue, outcome, reason).Observe(took.Seconds())
 }
 
+// Refuse observes the refusal of a submission at its arrival, before it became a
+// job, so that nothing was run whatever the kind of f. The queue is empty if it is
+// not known.
+func (s *RunnerSet) Refuse(queue string, f *fault.Error) {
+	s.answers.WithLabelValues(queue, notRun, f.Kind.Row().Code).Observe(0)
+}
+
 // outcomeOf returns the value of the label outcome for a job that ended with f.
 func outcomeOf(f *fault.Error) string {
 	switch {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/metric"
 	"github.com/lovagecrank/lovagecrank/peer"
@@ -244,12 +245,24 @@
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.CallerLeft(now, call, out) })
 	select {
 	case f = <-answer: // the answer became ready in the meantime
+		r.metrics.Answer(j.Queue.Name, f, time.Since(start))
 		return f, true
 	default:
 		return nil, false
 	}
 }
 
+// RecordRefusal counts and logs that a submission was refused before it became a
+// job of the machine. The names of the queue and the job are empty if they are not
+// known; a refusal without a job is only counted.
+func (r *Runner) RecordRefusal(queue, id string, f *fault.Error) {
+	r.metrics.Refuse(queue, f)
+	if id != "" {
+		detail := f.Kind.Row().Code + " " + f.Kind.Row().Title + ": " + httpapi.Truncate(f.Detail)
+		r.Record(time.Now(), event.Record{Kind: event.JobRefused, Subject: id, Detail: detail + "; queue=" + queue})
+	}
+}
+
 // HasJob reports whether this instance has the job and has not answered it.
 func (r *Runner) HasJob(id string) (found bool) {
 	r.apply(func(_ time.Time, m *pool.Machine, _ *pool.Output) { found = m.HasJob(id) })
