pool, runner: log claims, releases, regained endpoints and peers, and reads of the configuration

Missing were: why an endpoint is claimed or released; a regained endpoint (LC2062 had no counterpart, and was repeated every other second for a dead one); a peer that connects again in time, and what is stopped for one that does not; an endpoint that gets no work since it fails (LC2032 and LC2034 came only from the other path); a configuration that cannot be read; the source of a new configuration and the version that it replaces; and the inputs of LC2062, LC2063, LC2064 and LC2066.

Change: LC2074 (endpoints claimed), LC2075 (endpoints released), LC2076 (endpoint answers again); LC2032 after three backoffs in a row and LC2034 after the next successful run; LC2012 and LC2013 with the subject configuration. Log lines only: no decision reads what they record.

Claims and releases of half a second share a line.

Ruled out: LC2032 at the first backoff, since a refused start causes one and the next run ends it, so that an endpoint under load would write two lines a second.

--- a/event/table.go
+++ b/event/table.go
@@ -44,6 +44,9 @@
 	SettingsRejected
 	StopNotAccepted
 	RunConcluded
+	EndpointsClaimed
+	EndpointsReleased
+	EndpointAnswers
 	numKinds
 )
 
@@ -91,6 +94,9 @@
 	SettingsRejected:     row("LC2071", catalogue.Warning, "Settings rejected", "The settings file changed and cannot be used; the previous settings stay in force.", "Correct the key that the log names."),
 	StopNotAccepted:      row("LC2072", catalogue.Warning, "Stop not accepted", "The endpoint refused a stop order or did not answer it. The run may continue, and its task does not start elsewhere until its end is proved.", "Check the endpoint that the log names. The stop is repeated."),
 	RunConcluded:         row("LC2073", catalogue.Info, "Run concluded", "A run counts as over, or as never begun, though the endpoint did not list its end. The log gives the evidence.", "No action is needed. If two runs of a task overlap, the evidence tells which conclusion was wrong."),
+	EndpointsClaimed:     row("LC2074", catalogue.Info, "Endpoints claimed", "The instance claims endpoints, from which it then orders runs. The log gives the reason. A line may stand for several claims of half a second.", "No action is needed."),
+	EndpointsReleased:    row("LC2075", catalogue.Info, "Endpoints released", "The instance gives up endpoints. The log gives the reason. A line may stand for several releases of half a second.", "No action is needed."),
+	EndpointAnswers:      row("LC2076", catalogue.Info, "Endpoint answers again", "An endpoint that did not answer answers again, and no run of an earlier holder is left there; or an endpoint answers for the first time after it restarted.", "No action is needed."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
-	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/run"
 	"github.com/lovagecrank/lovagecrank/task"
@@ -79,6 +78,11 @@
 		// gets no more work and is released once idle.
 		releasing  bool
 		claimAfter time.Time
+		// unresponsiveSince is when the endpoint last answered before it was
+		// logged as unresponsive; zero if it has answered since. loggedEjection
+		// reports that it was logged as ejected and not yet as readmitted.
+		unresponsiveSince time.Time
+		loggedEjection    bool
 
 		clock clock
 		// bootSince is when the first poll that the present boot answered was
@@ -214,12 +218,13 @@
 		return
 	}
 	if m.leaseExpired(now, e) {
-		out.log(event.EndpointUnresponsive, e.info.ID, "no answer for longer than its lease")
+		m.logUnresponsive(now, e, out)
 		m.recordRemoteSilence(now, e)
 		m.releaseEnded(now, e, out)
 		e.health.backOff(now)
 		return
 	}
+	e.logHealth(now, out)
 	if e.active && now.Sub(e.activeAt) > maxFencedBackoff {
 		e.fencedClaims = 0
 	}
--- a/pool/log_test.go
+++ b/pool/log_test.go
@@ -130,7 +130,7 @@
 		play func(sim *simulation)
 		want []event.Kind
 	}{
-		{"a calm start", func(*simulation) {}, []event.Kind{event.PeerJoined, event.EndpointAdded}},
+		{"a calm start", func(*simulation) {}, []event.Kind{event.PeerJoined, event.EndpointAdded, event.EndpointsClaimed}},
 		{"a complete job", func(sim *simulation) { job(sim) }, []event.Kind{event.JobAnswered}},
 		{"refused starts", func(sim *simulation) {
 			sim.addTrouble(300*time.Millisecond, trouble{problem: refused, kinds: starts, share: 1})
@@ -158,7 +158,25 @@
 				sim.partitionEndpoint(n, 0, 3*time.Second)
 			}
 			sim.submit(0, &longQueue, 4*time.Second, step(8, time.Second))
-		}, []event.Kind{event.EndpointUnresponsive}},
+		}, []event.Kind{event.EndpointUnresponsive, event.EndpointAnswers}},
+		{"an endpoint that restarts", func(sim *simulation) {
+			sim.endpoints[0].crash(100 * time.Millisecond)
+			sim.submit(0, &longQueue, 4*time.Second, step(8, time.Second))
+		}, []event.Kind{event.EndpointAnswers}},
+		{"endpoints that refuse for a while", func(sim *simulation) {
+			sim.addTrouble(3*time.Second, trouble{problem: refused, kinds: starts, share: 1})
+			for i := range 20 {
+				sim.after(time.Duration(i)*250*time.Millisecond, func() { job(sim) })
+			}
+		}, []event.Kind{event.EndpointEjected, event.EndpointReadmitted}},
+		{"a planned stop", func(sim *simulation) {
+			sim.input(sim.instances[0], func(m *Machine, out *Output) { m.BeginStop(sim.now, sim.now.Add(5*time.Second), out) })
+		}, []event.Kind{event.EndpointsReleased, event.EndpointsClaimed}},
+		{"a stream that is reset", func(sim *simulation) {
+			a, b := sim.instances[0], sim.instances[1]
+			sim.disconnect(a, b)
+			sim.after(100*time.Millisecond, func() { sim.connect(a, b) })
+		}, []event.Kind{event.PeerLost, event.PeerJoined}},
 		{"an endpoint that leaves the list", func(sim *simulation) {
 			sim.input(sim.instances[0], func(m *Machine, out *Output) { m.SetEndpoints(sim.now, sim.listedEndpoints()[1:], out) })
 		}, []event.Kind{event.EndpointDraining}},
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -85,6 +85,8 @@
 		endpointDataCentres   []string
 		// held are the endpoints held by this instance, sorted by ID.
 		held []*endpointState
+		// holdings are the claims and releases that are not logged yet.
+		holdings holdings
 
 		peers map[instance.Ref]*peer
 		// lostPeers are the peers whose stream ended less than reconnectTimeout
@@ -231,8 +233,10 @@
 	moved := info.Address != e.info.Address
 	switch {
 	case restarted && (moved || len(e.runs) == 0):
+		e.logListedChange("the list says that it restarted", out)
 		m.releaseEnded(now, e, out)
 	case moved && !restarted && (info.StartedAt.IsZero() || e.info.StartedAt.IsZero()):
+		e.logListedChange("the list has another address for it", out)
 		m.releaseUnconfirmed(now, e, out)
 	}
 	reportedDraining := e.reportedDraining && !restarted
@@ -301,6 +305,7 @@
 		m.maintain(now, e, out)
 	}
 	m.advance(now, out)
+	m.logHoldings(now, out)
 }
 
 // reassign assigns the endpoints again if needed. It handles several changes at
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -51,11 +52,13 @@
 func (m *Machine) PeerJoined(now time.Time, info instance.Info, out *Output) {
 	p := m.lostPeers[info.Ref]
 	delete(m.lostPeers, info.Ref)
+	detail := info.Address.String()
 	if p == nil {
 		p = &peer{info: info, joined: now}
 		m.removeOldIncarnations(now, info.Ref, out)
 	} else {
 		p.reconnected = true
+		detail += ", again after " + milliseconds(now.Sub(p.lostAt)).String()
 		m.suspectOrphans(now, info.Ref)
 	}
 	p.lostAt = time.Time{}
@@ -66,7 +69,7 @@
 	m.status.newPeers = append(m.status.newPeers, info.Ref)
 	m.freeSlots.lastSent = message.FreeSlots{} // the new peer has received nothing
 	m.sendExpectedRuns(info.Ref, out)
-	out.log(event.PeerJoined, info.ID, info.Address.String())
+	out.log(event.PeerJoined, info.ID, detail)
 	m.advance(now, out)
 }
 
@@ -131,8 +134,12 @@
 	p := m.lostPeers[ref]
 	delete(m.lostPeers, ref)
 	m.peerChanged(p)
+	stopped := 0
 	for _, e := range m.held {
-		m.stopRunsOfHome(now, e, ref, out)
+		stopped += m.stopRunsOfHome(now, e, ref, out)
+	}
+	if stopped > 0 {
+		out.log(event.PeerLost, ref.ID, fmt.Sprintf("not connected for %s; %d runs of its jobs are stopped here", milliseconds(now.Sub(p.lostAt)), stopped))
 	}
 	m.handleHolderGone(now, ref, out)
 }
@@ -238,10 +245,12 @@
 	switch {
 	case !e.isHeld() && owner == self && m.mayClaim(now, e):
 		m.claim(now, e, out)
+		m.holdings.addClaim(e, m.cfg.Self.DataCentre)
 	case e.isHeld():
 		e.releasing = owner == another
 		if e.releasing && e.idle() {
 			m.releaseEndpoint(e)
+			m.holdings.addRelease(e)
 		}
 	}
 }
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -130,6 +130,7 @@
 	}
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
+		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
 		e.adoptNewBoot(now, m.cfg.LeaseTime)
 	}
 	e.info.StartedAt = reply.StartedAt
@@ -180,6 +181,7 @@
 	if !e.active && unknown == 0 {
 		e.active = true
 		e.activeAt = now
+		e.logAnswersAgain(now, out)
 	}
 	if unknown > 0 {
 		e.nextPoll = now.Add(m.cfg.StopTime / 2)
@@ -219,6 +221,7 @@
 		m.recordAnswer(now, e, reply)
 		m.handleFenced(now, e, out)
 	case Restarted:
+		out.log(event.EndpointsReleased, e.info.ID, "it restarted")
 		m.releaseEnded(now, e, out)
 		e.health.backOff(now)
 	case ConnectionRefused:
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -51,7 +51,7 @@
 		m.reportRun(now, e, r, run.Started, out)
 		return
 	case Unanswered:
-		m.stopUnansweredStart(now, e, r, out)
+		m.stopUnansweredStart(now, e, r, reply.summary(), out)
 		return
 	case Fenced, Restarted, ConnectionRefused:
 		// The run never began, and the cause concerns the whole endpoint.
@@ -74,12 +74,12 @@
 }
 
 // stopUnansweredStart stops a run whose start may have been carried out, now or
-// later, so that its task can start elsewhere.
-func (m *Machine) stopUnansweredStart(now time.Time, e *endpointState, r *heldRun, out *Output) {
+// later, so that its task can start elsewhere. The cause is for the log.
+func (m *Machine) stopUnansweredStart(now time.Time, e *endpointState, r *heldRun, cause string, out *Output) {
 	if !r.stopRequestedAt.IsZero() {
 		return
 	}
-	out.log(event.StartUnanswered, r.ref.Task, fmt.Sprintf("endpoint %s did not answer for %s and may have started run %d; stopping it there", e.info.ID, milliseconds(now.Sub(r.sentAt)), r.ref.Number))
+	out.log(event.StartUnanswered, r.ref.Task, fmt.Sprintf("run %d: endpoint %s did not answer for %s and may have started it: %s; stopping it there", r.ref.Number, e.info.ID, milliseconds(now.Sub(r.sentAt)), cause))
 	if m.answerTimes.mayRestart() {
 		e.health.recordUnanswered(now)
 	}
@@ -141,7 +141,7 @@
 		out.wakeAt(r.stopSentAt.Add(m.answerTimes.timeout()))
 	case r.startedAt.IsZero():
 		if m.startUnanswered(now, r) {
-			m.stopUnansweredStart(now, e, r, out)
+			m.stopUnansweredStart(now, e, r, "no reply in the time of "+milliseconds(m.answerTimes.timeout()).String(), out)
 			return
 		}
 		if due := r.sentAt.Add(m.answerTimes.timeout()); due.After(now) {
@@ -152,7 +152,7 @@
 		r.overduePollInterval *= 2
 		r.overduePollAt = now.Add(r.overduePollInterval)
 	case r.stalled(now):
-		out.log(event.RunStalled, r.ref.Task, "it makes no progress on endpoint "+e.info.ID)
+		out.log(event.RunStalled, r.ref.Task, r.describeProgress(now, e.info.ID))
 		e.health.backOff(now)
 		m.sendStop(now, e, r, out)
 	default:
@@ -238,13 +238,15 @@
 	m.sendStop(now, e, r, out)
 }
 
-// stopRunsOfHome stops the runs of a home that is gone.
-func (m *Machine) stopRunsOfHome(now time.Time, e *endpointState, home instance.Ref, out *Output) {
+// stopRunsOfHome stops the runs of a home that is gone and returns their number.
+func (m *Machine) stopRunsOfHome(now time.Time, e *endpointState, home instance.Ref, out *Output) (stopped int) {
 	for _, r := range e.sortedRuns() {
 		if r.home == home {
 			m.stopOrphan(now, e, r, out)
+			stopped++
 		}
 	}
+	return stopped
 }
 
 // addScaled returns a plus k times b.
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -33,7 +34,7 @@
 			}
 		}
 		if lost > 0 {
-			out.log(event.RunsUnconfirmed, j.ID, "the holder "+holder.ID+" of some runs is lost")
+			out.log(event.RunsUnconfirmed, j.ID, fmt.Sprintf("the holder %s of %d runs is lost; they may continue for up to %s", holder.ID, lost, milliseconds(m.maxLeaseDuration())))
 		}
 	}
 }
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -37,7 +37,7 @@
 func (r *Runner) readEndpoints(f *endpoint.Follower) bool {
 	change, err := r.Store.Endpoints(r.ctx, f.Cursor())
 	now := time.Now()
-	r.recordStoreState(now, err)
+	r.recordRead(&r.listReads, "store", "the lists in use stay", err)
 	if err != nil {
 		f.HandleStoreUnreachable()
 		return false
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,13 +51,14 @@
 	cursor := uint64(0)
 	for r.ctx.Err() == nil {
 		change, err := r.Store.Configuration(r.ctx, cursor, configurationWait)
+		r.recordRead(&r.configurationReads, "configuration", "version "+formatVersion(r.routes.Load().Version())+" stays in force", err)
 		if err != nil {
 			r.sleep(storeBackoff)
 			continue
 		}
 		cursor = change.Cursor
 		if change.Encoded != nil {
-			r.applyConfiguration(change.Encoded)
+			r.applyConfiguration("the store", change.Encoded)
 		} else if r.routes.Load() == nil {
 			r.sleep(initialConfigurationPeriod)
 		}
@@ -64,21 +66,22 @@
 }
 
 // applyConfiguration puts a configuration from the store or a peer into force if
-// it is newer than the one in force.
-func (r *Runner) applyConfiguration(encoded []byte) {
+// it is newer than the one in force. The source is for the log.
+func (r *Runner) applyConfiguration(source string, encoded []byte) {
 	d, err := r.DecodeConfiguration(encoded)
 	if err != nil {
-		r.Record(time.Now(), event.Record{Kind: event.StoreRowInvalid, Subject: "configuration", Detail: err.Error()})
+		r.Record(time.Now(), event.Record{Kind: event.StoreRowInvalid, Subject: "configuration", Detail: "from " + source + ": " + err.Error()})
 		return
 	}
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) {
-		if d.Version <= r.routes.Load().Version() {
+		previous := r.routes.Load().Version()
+		if d.Version <= previous {
 			return
 		}
 		r.routes.Store(route.NewTable(d))
 		r.encodedConfiguration.Store(&encoded)
 		m.SetVersion(now, d.Version, out)
-		out.Events = append(out.Events, event.Record{Kind: event.ConfigurationInForce, Subject: formatVersion(d.Version)})
+		out.Events = append(out.Events, event.Record{Kind: event.ConfigurationInForce, Subject: formatVersion(d.Version), Detail: fmt.Sprintf("%d queues from %s, replaces version %d", len(d.Queues), source, previous)})
 	})
 }
 
@@ -94,7 +97,7 @@
 			lastAnnounced = now
 		}
 		change, err := r.Store.Instances(r.ctx, list.cursor)
-		r.recordStoreState(time.Now(), err)
+		r.recordRead(&r.listReads, "store", "the lists in use stay", err)
 		if err == nil {
 			list.apply(time.Now(), change)
 			r.updateInstances(time.Now(), list)
@@ -107,18 +110,6 @@
 	}
 }
 
-// recordStoreState records an event when the store becomes unreachable or
-// reachable again. err is the error of a read of the endpoints or the instances.
-func (r *Runner) recordStoreState(now time.Time, err error) {
-	switch {
-	case r.ctx.Err() != nil:
-	case err == nil && r.storeUnreachable.Swap(false):
-		r.Record(now, event.Record{Kind: event.StoreReachable, Subject: "store"})
-	case err != nil && !r.storeUnreachable.Swap(true):
-		r.Record(now, event.Record{Kind: event.StoreUnreachable, Subject: "store", Detail: err.Error()})
-	}
-}
-
 // updateInstances sets the instances in use to those with a recent announcement
 // if they have changed, and removes old entries from the store.
 func (r *Runner) updateInstances(now time.Time, list *instanceList) {
@@ -160,7 +151,7 @@
 			r.send(m.From, message.PlatformConfiguration{Document: *encoded})
 		}
 	case message.PlatformConfiguration:
-		r.applyConfiguration(b.Document)
+		r.applyConfiguration("peer "+m.From.ID, b.Document)
 	case message.ListChange:
 		r.queueListChange(b)
 	case message.ListsRequest:
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -15,7 +15,7 @@
 	return metric.RunnerSnapshot{
 		Ready:                r.ready(),
 		ConfigurationVersion: r.routes.Load().Version(),
-		StoreReachable:       !r.storeUnreachable.Load(),
+		StoreReachable:       !r.listReads.lost(),
 		PeersLive:            len(v.Connected),
 		Jobs:                 v.Jobs,
 		Runs:                 v.Running,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -135,9 +135,9 @@
 		view                 atomic.Pointer[pool.View]
 		stopping             atomic.Bool
 		metrics              *metric.RunnerSet
-		// storeUnreachable reports that the last read of the endpoints or the
-		// instances from the store failed.
-		storeUnreachable atomic.Bool
+		// listReads are the reads of the endpoints and the instances from the
+		// store, and configurationReads those of the configuration.
+		listReads, configurationReads dependency
 
 		listsMu sync.Mutex
 		// lists are the endpoints and the other instances in use, as sent to peers.
