pool: the history of a job counts declined starts and failed runs

A holder that declines a start, since its slot is taken, and a run that fails and is started again wrote nothing.

Change: the history in the job's last line has '(1 declined)' and '(1 failed)'.

--- a/pool/history.go
+++ b/pool/history.go
@@ -42,8 +42,9 @@
 }
 
 // describe writes step.index#run@endpoint/holder+start, followed by the state
-// unless the task is done. start is the time from the job's arrival to the
-// start of the last run.
+// unless the task is done, and by the numbers of its failed runs and of the starts
+// that holders declined, if there are any. start is the time from the job's arrival
+// to the start of the last run.
 func (t *homeTask) describe(b *strings.Builder, arrived time.Time) {
 	fmt.Fprintf(b, "%d.%d#%d", t.step, t.index, t.number)
 	if t.endpoint != "" {
@@ -61,6 +62,12 @@
 	case waiting, blocked:
 		b.WriteString("(waiting)")
 	}
+	if t.failures > 0 {
+		fmt.Fprintf(b, "(%d failed)", t.failures)
+	}
+	if t.declined > 0 {
+		fmt.Fprintf(b, "(%d declined)", t.declined)
+	}
 }
 
 // milliseconds rounds a duration for a log line.
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -104,6 +104,9 @@
 		// first. It includes the runs of an earlier request for the job here.
 		number   int64
 		failures int
+		// declined counts the starts that a holder did not send to an endpoint,
+		// for the log.
+		declined int
 		state    taskState
 		holder   instance.Ref
 		endpoint string
@@ -268,6 +271,8 @@
 	j := t.job
 	if u.Status != run.NotRun {
 		j.possiblyStarted = true
+	} else if u.Endpoint == "" {
+		t.declined++
 	}
 	switch u.Status {
 	case run.Started:
--- a/pool/log_test.go
+++ b/pool/log_test.go
@@ -212,3 +212,23 @@
 		})
 	}
 }
+
+// TestHistoryOfRestarts tests that a job's last line tells how often a task failed
+// and how often a holder declined to start it.
+func TestHistoryOfRestarts(t *testing.T) {
+	is := is.New(t)
+	sim := newFleet(t, 1, 1, 2, 4)
+	sim.advance(2 * time.Second)
+	failed := submitFailing(sim)
+	sim.advance(time.Second)
+	lines := sim.logged(event.JobFailed, failed.job.ID)
+	is.True(strings.HasSuffix(lines[len(lines)-1], "(2 failed)"))
+
+	other := sim.instances[1]
+	c := sim.submit(0, &longQueue, 8*time.Second, step(8, 200*time.Millisecond))
+	sim.input(other, func(m *Machine, _ *Output) { m.resumedAt = sim.now }) // it declines all starts for a while
+	sim.advance(4 * time.Second)
+	lines = sim.logged(event.JobAnswered, c.job.ID)
+	is.Equal(len(lines), 1)
+	is.True(strings.Contains(lines[0], " declined)"))
+}
