logline, command: count the lines about dropped lines and settings

Cause: lovagecrank_events_total lacked LC2070, which the log writer makes itself, and LC2004 and LC2071, which were recorded before the runner or beside it, so that metrics alone did not show that lines were dropped.

Change: Writer.OnDropped, which join connects to the metric; settings are recorded through the runner. The writer starts after the runner is made; lines wait in its buffer until then.

--- a/command/join.go
+++ b/command/join.go
@@ -36,18 +36,11 @@
 
 	lines := logline.NewWriter("instance", cfg.Runner.Self.ID)
 	logging, endLogging := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() { lines.Run(logging, s.out) })
-	defer group.Wait()
-	defer endLogging()
-
 	record := lines.Write
 	if quiet {
 		record = func(time.Time, event.Record) {}
 	}
-	record(now, event.Record{Kind: event.SettingsLoaded, Subject: path})
 	store := platform.NewStore(cfg.StoreAddress)
-	group.Go(func() { watchSettings(logging, path, store, record) })
 	r := runner.New(cfg.Runner, runner.Options{
 		EndpointClient:      platform.NewWorkerClient(),
 		Store:               store,
@@ -55,5 +48,12 @@
 		NewHandler:          func(r *runner.Runner) http.Handler { return platform.NewJobHandler(r) },
 		Record:              record,
 	})
+	lines.OnDropped = r.CountEvent
+	r.Record(now, event.Record{Kind: event.SettingsLoaded, Subject: path})
+	var group conc.WaitGroup
+	group.Go(func() { lines.Run(logging, s.out) })
+	group.Go(func() { watchSettings(logging, path, store, r.Record) })
+	defer group.Wait()
+	defer endLogging()
 	return r.Run(stop, force)
 }
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -32,6 +32,9 @@
 	Writer struct {
 		// fields are the alternating keys and values that every line contains.
 		fields []any
+		// OnDropped is called with each event about dropped lines, which nobody
+		// else writes. It is optional and must be set before Run is called.
+		OnDropped func(event.Record)
 
 		mu       sync.Mutex
 		ordinary []line
@@ -125,7 +128,11 @@
 		w.encode(logger, l)
 	}
 	if dropped > 0 {
-		w.encode(logger, line{now, event.Record{Kind: event.LinesDropped, Detail: fmt.Sprint(dropped)}})
+		r := event.Record{Kind: event.LinesDropped, Detail: fmt.Sprint(dropped)}
+		w.encode(logger, line{now, r})
+		if w.OnDropped != nil {
+			w.OnDropped(r)
+		}
 	}
 	return b.Bytes()
 }
--- a/logline/writer_test.go
+++ b/logline/writer_test.go
@@ -16,6 +16,8 @@
 	is := is.New(t)
 	now := time.Unix(1_700_000_000, 0)
 	w := NewWriter("instance", "a")
+	var reported []event.Record
+	w.OnDropped = func(r event.Record) { reported = append(reported, r) }
 	for range 3 * maxOrdinaryLines {
 		w.Write(now, event.Record{Kind: event.JobAnswered, Subject: "j"})
 	}
@@ -25,5 +27,7 @@
 	is.True(strings.Contains(text, `subject="lost one"`))
 	is.True(strings.Contains(text, "code=LC2070"))
 	is.True(strings.Contains(text, "detail=8192"))
+	is.Equal(reported, []event.Record{{Kind: event.LinesDropped, Detail: "8192"}})
 	is.Equal(len(w.drain(now)), 0) // nothing is written twice
+	is.Equal(len(reported), 1)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -252,6 +252,9 @@
 	}
 }
 
+// CountEvent counts an event that is logged without Record.
+func (r *Runner) CountEvent(e event.Record) { r.metrics.Event(e) }
+
 // RecordRefusal counts and logs that a submission was refused before it became a
 // job of the machine. The names of the queue and the job are empty if they are not
 // known; a refusal without a job is only counted.
