--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -42,6 +42,9 @@
 	// stopMargin is the time after StopTime at which an accepted stop counts as
 	// complete.
 	stopMargin = 30 * time.Millisecond
+	// maxStopDelay is how long a stop may be refused or unanswered before the
+	// lease of the endpoint is left to end. It spans several repeated stops.
+	maxStopDelay = silenceTimeout
 	// ackDelay is how long the acknowledgement of an ended run waits for the
 	// next poll when nothing runs any more. Under load, it thus needs no poll
 	// of its own.
@@ -126,6 +129,9 @@
 		sentAt   time.Time
 		// until is when the start is refused as late, on the endpoint's clock.
 		until time.Duration
+		// maySpanBoots reports that the start may have reached an earlier boot of
+		// the endpoint than the present one.
+		maySpanBoots bool
 		// startedAt is when the endpoint accepted the run; zero before.
 		startedAt time.Time
 		// stopRequestedAt is when a stop was first requested, stopSentAt when
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -90,8 +90,8 @@
 		assignRun(t, &s)
 		t.holder = m.cfg.Self.Ref
 		t.endpoint = e.info.ID
-		if _, other := m.findRun(s.Run); other != nil {
-			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration())) // see startForPeer
+		if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
+			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
 			return true
 		}
 		m.startRun(now, e, m.cfg.Self.Ref, s, out)
@@ -207,7 +207,7 @@
 	if !e.active || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
-	if e.hasUnstoppedOrphan(now.Add(-minAnswerTimeout)) {
+	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
 		return false // a start would extend the lease
 	}
 	usable, probation := e.health.usable(now)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -67,11 +67,9 @@
 }
 
 // renewsLease reports whether the lease should be renewed: the endpoint answers
-// and runs something that is not orphaned, and it has accepted the stops of all
-// orphaned runs. The lease ends an orphaned run that can't be stopped before its
-// caller, which may have resubmitted the job elsewhere, gets another run.
+// and runs something that is not orphaned, and no stop is overdue.
 func (m *Machine) renewsLease(now time.Time, e *endpointState) bool {
-	if e.silent(now) || e.hasUnstoppedOrphan(now) {
+	if e.silent(now) || e.hasOverdueStop(now) {
 		return false
 	}
 	for _, r := range e.runs {
@@ -82,11 +80,20 @@
 	return false
 }
 
-// hasUnstoppedOrphan reports whether the endpoint has an orphaned run whose stop
-// was requested at the given time or earlier and is not accepted.
-func (e *endpointState) hasUnstoppedOrphan(requested time.Time) bool {
+// hasOverdueStop reports whether the lease has to end a run whose stop is not
+// accepted and was overdue at the given time. That of an orphaned run is overdue at
+// once, so that the lease ends before its caller, which may have resubmitted the
+// job elsewhere, gets another run.
+func (e *endpointState) hasOverdueStop(at time.Time) bool {
 	for _, r := range e.runs {
-		if r.orphaned && r.stopAcceptedAt.IsZero() && !r.stopRequestedAt.After(requested) {
+		if r.stopRequestedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
+			continue
+		}
+		due := r.stopRequestedAt
+		if !r.orphaned {
+			due = due.Add(maxStopDelay)
+		}
+		if !at.Before(due) {
 			return true
 		}
 	}
@@ -95,6 +102,7 @@
 
 // HandlePollReply handles an endpoint's reply to a poll.
 func (m *Machine) HandlePollReply(now time.Time, reply PollReply, out *Output) {
+	m.handleSuspension(now, out)
 	e, ok := m.endpoints[reply.Endpoint]
 	if !ok {
 		return
@@ -131,7 +139,7 @@
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
 		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
-		e.adoptNewBoot(now, m.cfg.LeaseTime)
+		m.adoptNewBoot(now, e, out)
 	}
 	e.info.StartedAt = reply.StartedAt
 	e.ackedEnd = max(e.ackedEnd, min(reply.LastEnd, e.lastEnd))
@@ -151,16 +159,27 @@
 
 // adoptNewBoot handles an answer from another boot of the endpoint, whose ends
 // and clock start from zero. Its list lacks the runs of the earlier boot and
-// has those that were started since.
-func (e *endpointState) adoptNewBoot(now time.Time, lease time.Duration) {
+// has those that were started since. A new token fences the starts sent to the
+// earlier boot: they may arrive late, and the new boot's clock does not refuse
+// them.
+func (m *Machine) adoptNewBoot(now time.Time, e *endpointState, out *Output) {
 	e.lastEnd, e.ackedEnd = 0, 0
-	e.maxLeaseEnd = e.clock.latest(now) + lease
+	for _, r := range e.runs {
+		r.maySpanBoots = true
+	}
+	e.maxLeaseEnd = e.clock.latest(now) + m.cfg.LeaseTime
+	e.token = m.newToken(now, e)
+	e.immediatePolling = false // a pending poll has the earlier token
+	m.pollImmediately(now, e, out)
 }
 
 // recordAnswer records when an endpoint last answered, and the clock that it
-// reported.
+// reported. An endpoint that refuses orders has not renewed its lease, so that it
+// counts as silent.
 func (m *Machine) recordAnswer(now time.Time, e *endpointState, reply Reply) {
-	e.unansweredSince = now
+	if reply.Outcome != Unhealthy && reply.Outcome != Invalid {
+		e.unansweredSince = now
+	}
 	if reply.Clock > 0 && !reply.Sent.Before(e.bootSince) {
 		e.clock = clock{reading: reply.Clock, sent: reply.Sent, received: now}
 	}
@@ -193,21 +212,21 @@
 			r.progress.observe(now, percent)
 		case !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(reply.Sent):
 			// The run is neither running nor among the ended runs.
-			m.concludeRun(now, e, r, r.stoppedStatus(), absentAfterStop, out)
+			m.concludeRun(now, e, r, r.absentStatus(), absentAfterStop, out)
 		case !r.startedAt.IsZero() && r.startedAt.Before(reply.Sent):
 			m.concludeRun(now, e, r, run.Expired, absentAfterStart, out)
 		case r.startedAt.IsZero() && r.sentAt.Before(reply.Sent) && reply.Clock > r.until:
 			// Even if its stop is refused, the start can no longer begin it.
-			m.concludeRun(now, e, r, run.NotRun, absentAfterDeadline, out)
+			m.concludeRun(now, e, r, r.absentStatus(), absentAfterDeadline, out)
 		}
 	}
 }
 
-// stoppedStatus returns the status of a stopped run that the endpoint lists
-// neither as running nor as ended. If its start was never confirmed, it never
-// began; otherwise it would be listed.
-func (r *heldRun) stoppedStatus() run.Status {
-	if r.startedAt.IsZero() {
+// absentStatus returns the status of a run that can't begin any more and that the
+// endpoint lists neither as running nor as ended. If its start was never confirmed,
+// it never began; otherwise it would be listed, unless an earlier boot ran it.
+func (r *heldRun) absentStatus() run.Status {
+	if r.startedAt.IsZero() && !r.maySpanBoots {
 		return run.NotRun
 	}
 	return run.Stopped
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -52,12 +52,6 @@
 	}
 }
 
-// recentlyResumed reports whether a start may have waited on its stream during a
-// suspension, so that its home has given it up.
-func (m *Machine) recentlyResumed(now time.Time) bool {
-	return !m.resumedAt.IsZero() && now.Sub(m.resumedAt) < resumeTime
-}
-
 // startForPeer starts a task for a peer, or reports at once that it was not
 // run.
 func (m *Machine) startForPeer(now time.Time, p *peer, s message.StartRun, out *Output) {
@@ -76,9 +70,7 @@
 		}, out)
 		return
 	}
-	if _, other := m.findRun(s.Run); other != nil {
-		// An earlier request for the job, at another home, has a run of the same
-		// name, which must end first.
+	if m.hasRunOfOtherHome(s.Run.Task, p.info.Ref) {
 		m.send(p.info.Ref, message.RunUpdate{Run: s.Run, Status: run.Unconfirmed, Endpoint: e.info.ID}, out)
 		return
 	}
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -87,8 +87,8 @@
 	m.enqueueTask(t)
 }
 
-// RecordSuspension records a suspension of the machine since the last input,
-// which the clock of the inputs does not count.
+// RecordSuspension records a suspension of the machine since the last input, which
+// the clock of the inputs does not count. It adds to the time without a tick.
 func (m *Machine) RecordSuspension(d time.Duration) { m.uncounted += d }
 
 // handleSuspension detects a suspension of the process or the machine. The callers
@@ -100,7 +100,11 @@
 		return
 	}
 	out.log(event.Suspended, m.cfg.Self.ID, "the process did not run for "+stopped.String())
-	m.lastTick, m.uncounted, m.resumedAt = now, 0, now
+	m.lastTick, m.uncounted = now, 0
+	if stopped >= longSuspension {
+		m.resumedAt = now
+	}
+	m.resumed = true
 	for _, j := range m.sortedJobs() {
 		j.suspended = true
 		if len(j.waiting) > 0 {
@@ -109,6 +113,12 @@
 	}
 }
 
+// recentlyResumed reports whether a request or a start may have waited unread
+// during a suspension, so that it was sent elsewhere.
+func (m *Machine) recentlyResumed(now time.Time) bool {
+	return !m.resumedAt.IsZero() && now.Sub(m.resumedAt) < resumeTime
+}
+
 // endSuspendedJob ends a job whose waiting tasks must not start.
 func (m *Machine) endSuspendedJob(now time.Time, j *homeJob, out *Output) {
 	if j.mayHaveStarted() {
