--- a/pool/admission.go
+++ b/pool/admission.go
@@ -86,7 +86,7 @@
 		return fault.New(fault.NoEndpointFits, "no endpoint of service %s is large enough", j.Queue.Service), l
 	}
 	if m.recentlyResumed(now) {
-		return fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second), l
+		return suspendedRefusal(), l
 	}
 	return m.refusalForLoad(now, j, l), l
 }
--- a/pool/unconfirmed.go
+++ b/pool/unconfirmed.go
@@ -125,7 +125,12 @@
 		m.endJob(now, j, fault.New(fault.OutcomeUnknown, "the instance stood still"), out)
 		return
 	}
-	m.endJob(now, j, fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second), out)
+	m.endJob(now, j, suspendedRefusal(), out)
+}
+
+// suspendedRefusal returns the refusal of a job that waited during a suspension.
+func suspendedRefusal() *fault.Error {
+	return fault.New(fault.NotReady, "the instance stood still").WithRetryAfter(time.Second)
 }
 
 func earlier(a, b time.Time) time.Time {
