--- a/message/pool.go
+++ b/message/pool.go
@@ -25,6 +25,18 @@
 		// DataCentres are the other data centres in which the sender is
 		// connected to an instance that can hold endpoints.
 		DataCentres []string
+		// Evacuations are the evacuations that the sender knows.
+		Evacuations Evacuations
+	}
+
+	// Evacuations are the data centres whose endpoints get no work at an
+	// operator's request. They replace those of a lower version.
+	Evacuations struct {
+		// Version is the store's version at which the set was read; zero if it
+		// is not known.
+		Version uint64
+		// DataCentres are in ascending order.
+		DataCentres []string
 	}
 
 	// FreeSlots reports the sender's free slots and waiting tasks to some
@@ -34,7 +46,8 @@
 		Capacities []Capacity
 	}
 
-	// Capacity is the capacity and the demand of one service at the sender.
+	// Capacity is the capacity and the demand of one service at the sender, or
+	// in a data centre.
 	Capacity struct {
 		Service string
 		// Slots is the number of slots, counted in tasks with the service's
@@ -46,16 +59,23 @@
 		Largest task.Needs
 		// Backlog has one entry for each priority with waiting tasks.
 		Backlog []WaitingTasks
-		// Arrivals has one entry for each priority with recent jobs.
+		// Arrivals has one entry for each priority and data centre of the callers
+		// with recent jobs.
 		Arrivals []ArrivalRate
+		// Leaving is how many of the slots are about to be lost, and Joining how
+		// many more will be usable soon.
+		Leaving, Joining float64
 	}
 
-	// ArrivalRate is the rate at which work of one priority arrives at the
-	// sender.
+	// ArrivalRate is the rate at which work of one priority arrives from the
+	// callers of one data centre.
 	ArrivalRate struct {
 		Priority int
-		// Slots is how many slots the work keeps busy.
-		Slots float64
+		// DataCentre is that of the callers; empty means the sender's.
+		DataCentre string
+		// Slots is how many slots the admitted work keeps busy, and Refused how
+		// many the refused work would.
+		Slots, Refused float64
 	}
 
 	// WaitingTasks is the demand of the waiting tasks of one priority.
@@ -71,8 +91,68 @@
 		Slack time.Duration
 		// Work is the sum of their expected run times.
 		Work time.Duration
-		// Needs is the most of each resource that any one of them needs.
-		Needs task.Needs
+		// Needs is the most of each resource that any one of them needs, and
+		// Smallest the least.
+		Needs, Smallest task.Needs
+		// Share is how many of the tasks the receiver may offer slots for. The
+		// shares of all receivers add up to Tasks. From a sender that does not
+		// divide its tasks, it equals Tasks.
+		Share int
+	}
+
+	// DataCentreViews carries what the sender knows of whole data centres.
+	DataCentreViews struct {
+		Views []DataCentreView
+	}
+
+	// DataCentreView is the capacity and the demand of one data centre, added up
+	// by one of its instances.
+	DataCentreView struct {
+		DataCentre string
+		// Merger is the instance that added them up, and Sequence increases with
+		// each of its views.
+		Merger   instance.Ref
+		Sequence uint64
+		// Age is the time since then, at the time of sending.
+		Age time.Duration
+		// Instances is how many instances are included.
+		Instances  int
+		Capacities []Capacity
+	}
+
+	// Profiles carries what the sender has learnt of endpoints and queues. The
+	// receiver merges it with its own observations.
+	Profiles struct {
+		Endpoints []EndpointProfile
+		Queues    []QueueProfile
+	}
+
+	// EndpointProfile is what is known of one boot of an endpoint.
+	EndpointProfile struct {
+		ID string
+		// StartedAt is when the endpoint started; zero if unknown.
+		StartedAt time.Time
+		// Speed is the expected run time divided by the observed one, from the
+		// number Samples of runs.
+		Speed   float64
+		Samples int
+		// FailedShare is the share of failures among the number Outcomes of
+		// recent runs.
+		FailedShare float64
+		Outcomes    int
+		// EjectedFor is how much longer the endpoint gets no work; zero if it is
+		// not ejected.
+		EjectedFor time.Duration
+	}
+
+	// QueueProfile is how the run times of a queue's tasks compare to their
+	// estimates at an endpoint of speed 1.
+	QueueProfile struct {
+		Queue   string
+		Samples int
+		// MedianRatio and TailRatio are the median and the 95th percentile of the
+		// run time divided by the estimate.
+		MedianRatio, TailRatio float64
 	}
 
 	// StartRun asks the holder to run a task.
@@ -181,6 +261,9 @@
 		Labels   []string
 		// StartedAt is when the endpoint started; zero if unknown.
 		StartedAt time.Time
+		// ColdFor is how much longer the endpoint is slow after its start, at the
+		// time of sending.
+		ColdFor time.Duration
 	}
 )
 
@@ -197,3 +280,5 @@
 func (Lists) body()                        {}
 func (ListsRequest) body()                 {}
 func (ListChange) body()                   {}
+func (DataCentreViews) body()              {}
+func (Profiles) body()                     {}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -37,6 +39,17 @@
 	return s
 }
 
+// capacities returns the capacity of one service, with every field set.
+func capacities() []message.Capacity {
+	return []message.Capacity{{
+		Service: "s", Slots: 9, Free: 2, Largest: testNeeds, Leaving: 1.5, Joining: 0.5,
+		Arrivals: []message.ArrivalRate{{Priority: 1, DataCentre: "d", Slots: 2.5, Refused: 0.5}},
+		Backlog: []message.WaitingTasks{{
+			Priority: 1, Late: true, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: testNeeds, Smallest: testNeeds, Share: 2,
+		}},
+	}}
+}
+
 // bodies returns a body of each type, with every field set.
 func bodies() []message.Body {
 	leases := []message.SlotLease{{Endpoint: "w", Epoch: 9, Slots: 4, Length: time.Second, To: testRef}}
@@ -61,12 +74,20 @@
 		message.ConfigurationRequest{},
 		message.Configuration{Document: configuration.Document{Version: 3, ChangeID: "x", Classes: []class.Class{{Name: "c", Target: time.Second}}}},
 		message.Stale{Request: 8},
-		message.Status{Draining: true, Version: 4, Endpoints: []string{"w"}, DataCentres: []string{"b", "c"}},
-		message.FreeSlots{Capacities: []message.Capacity{{
-			Service: "s", Slots: 9, Free: 2, Largest: testNeeds,
-			Arrivals: []message.ArrivalRate{{Priority: 1, Slots: 2.5}},
-			Backlog:  []message.WaitingTasks{{Priority: 1, Late: true, Tasks: 3, Slack: time.Second, Work: time.Minute, Needs: testNeeds}},
+		message.Status{
+			Draining: true, Version: 4, Endpoints: []string{"w"}, DataCentres: []string{"b", "c"},
+			Evacuations: message.Evacuations{Version: 5, DataCentres: []string{"b"}},
+		},
+		message.FreeSlots{Capacities: capacities()},
+		message.DataCentreViews{Views: []message.DataCentreView{{
+			DataCentre: "d", Merger: testRef, Sequence: 6, Age: time.Second, Instances: 7, Capacities: capacities(),
 		}}},
+		message.Profiles{
+			Endpoints: []message.EndpointProfile{{
+				ID: "w", StartedAt: time.UnixMilli(5), Speed: 0.5, Samples: 4, FailedShare: 0.25, Outcomes: 8, EjectedFor: time.Second,
+			}},
+			Queues: []message.QueueProfile{{Queue: "q", Samples: 9, MedianRatio: 1.5, TailRatio: 7}},
+		},
 		message.StartRun{
 			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: testNeeds, Estimate: time.Second,
 			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7, NotifyStart: true,
@@ -82,12 +103,12 @@
 			Instances: []instance.Info{{Ref: testRef, Rack: "r", Address: netip.MustParseAddrPort("10.0.0.1:7"), Draining: true, Cores: 0.4}},
 			Endpoints: []message.ListedEndpoint{{
 				ID: "w", Address: netip.MustParseAddrPort("10.0.0.1:7"), DataCentre: "d", Rack: "r", Slots: 8, Size: testNeeds,
-				Draining: true, Service: "s", Labels: []string{"a"}, StartedAt: time.UnixMilli(5),
+				Draining: true, Service: "s", Labels: []string{"a"}, StartedAt: time.UnixMilli(5), ColdFor: time.Second,
 			}},
 		},
 		message.ListChange{After: 3, Cursor: 4, Removed: []string{"v"}, Put: []message.ListedEndpoint{{
 			ID: "w", Address: netip.MustParseAddrPort("10.0.0.1:7"), DataCentre: "d", Rack: "r", Slots: 8, Size: testNeeds,
-			Draining: true, Service: "s", Labels: []string{"a"}, StartedAt: time.UnixMilli(5),
+			Draining: true, Service: "s", Labels: []string{"a"}, StartedAt: time.UnixMilli(5), ColdFor: time.Second,
 		}}},
 		message.ListsRequest{},
 	}
@@ -220,3 +241,42 @@
 		})
 	}
 }
+
+// TestFormerRelease checks messages of a release that does not divide its tasks
+// among its peers and knows no evacuations.
+func TestFormerRelease(t *testing.T) {
+	is := is.New(t)
+	largest := &wire.Needs{Cores: 8}
+	body, err := decodeBody(&wire.Message{Body: &wire.Message_Vacancies{Vacancies: &wire.Vacancies{
+		Rooms: []*wire.Room{{Service: "s", Waits: []*wire.Wait{{Tasks: 3, Needs: largest}}}},
+	}}})
+	is.NoErr(err)
+	waiting := body.(message.FreeSlots).Capacities[0].Backlog[0]
+	is.Equal(waiting.Share, 3)
+	is.Equal(waiting.Smallest.Cores, 8.0)
+	body, err = decodeBody(&wire.Message{Body: &wire.Message_Standing{Standing: &wire.Standing{}}})
+	is.NoErr(err)
+	is.Equal(body.(message.Status).Evacuations.Version, uint64(0))
+}
+
+// TestInvalidNumbers checks that a message with a number that no decision may use
+// is not decoded.
+func TestInvalidNumbers(t *testing.T) {
+	invalid := []float64{math.NaN(), math.Inf(1), -1}
+	for _, n := range invalid {
+		bodies := []*wire.Message{
+			{Body: &wire.Message_Profiles{Profiles: &wire.Profiles{Endpoints: []*wire.EndpointProfile{{Id: "e", Speed: n}}}}},
+			{Body: &wire.Message_Profiles{Profiles: &wire.Profiles{Endpoints: []*wire.EndpointProfile{{Id: "e", FailedShare: n}}}}},
+			{Body: &wire.Message_Profiles{Profiles: &wire.Profiles{Queues: []*wire.QueueProfile{{Queue: "q", MedianRatio: n}}}}},
+			{Body: &wire.Message_Profiles{Profiles: &wire.Profiles{Queues: []*wire.QueueProfile{{Queue: "q", TailRatio: n}}}}},
+			{Body: &wire.Message_Vacancies{Vacancies: &wire.Vacancies{Rooms: []*wire.Room{{LeavingPlaces: n}}}}},
+			{Body: &wire.Message_Vacancies{Vacancies: &wire.Vacancies{Rooms: []*wire.Room{{JoiningPlaces: n}}}}},
+			{Body: &wire.Message_Vacancies{Vacancies: &wire.Vacancies{Rooms: []*wire.Room{{Arrivals: []*wire.ArrivalRate{{RefusedSlots: n}}}}}}},
+		}
+		for _, w := range bodies {
+			if body, err := decodeBody(w); err == nil {
+				t.Errorf("%v was decoded: %+v", n, body)
+			}
+		}
+	}
+}
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -20,6 +20,7 @@
 	case *wire.Message_Standing:
 		return message.Status{
 			Draining: b.Standing.GetLeaving(), Version: b.Standing.GetVersion(), Endpoints: b.Standing.GetEndpoints(), DataCentres: b.Standing.GetDataCentres(),
+			Evacuations: message.Evacuations{Version: b.Standing.GetEvacuations().GetVersion(), DataCentres: b.Standing.GetEvacuations().GetDataCentres()},
 		}, nil
 	case *wire.Message_Vacancies:
 		return decodeFreeSlots(b.Vacancies)
@@ -48,6 +49,10 @@
 		return message.ListChange{After: b.ListChange.GetAfter(), Cursor: b.ListChange.GetCursor(), Put: put, Removed: b.ListChange.GetGone()}, err
 	case *wire.Message_ListsRequest:
 		return message.ListsRequest{}, nil
+	case *wire.Message_DataCentreViews:
+		return decodeViews(b.DataCentreViews)
+	case *wire.Message_Profiles:
+		return decodeProfiles(b.Profiles)
 	}
 	return nil, errUnknownBody
 }
@@ -109,9 +114,15 @@
 }
 
 func decodeFreeSlots(w *wire.Vacancies) (message.Body, error) {
-	b := message.FreeSlots{}
-	for _, r := range w.GetRooms() {
-		if err := errors.Join(checkCount(r.GetPlaces()), checkCount(r.GetFree())); err != nil {
+	capacities, err := decodeCapacities(w.GetRooms())
+	return message.FreeSlots{Capacities: capacities}, err
+}
+
+func decodeCapacities(list []*wire.Room) ([]message.Capacity, error) {
+	var capacities []message.Capacity
+	for _, r := range list {
+		err := errors.Join(checkCount(r.GetPlaces()), checkCount(r.GetFree()), checkAmount(r.GetLeavingPlaces()), checkAmount(r.GetJoiningPlaces()))
+		if err != nil {
 			return nil, err
 		}
 		backlog, err := decodeBacklog(r.GetWaits())
@@ -126,20 +137,29 @@
 		if err != nil {
 			return nil, err
 		}
-		b.Capacities = append(b.Capacities, message.Capacity{
+		capacities = append(capacities, message.Capacity{
 			Service: r.GetService(), Slots: int(r.GetPlaces()), Free: int(r.GetFree()), Largest: largest, Backlog: backlog, Arrivals: arrivals,
+			Leaving: r.GetLeavingPlaces(), Joining: r.GetJoiningPlaces(),
 		})
 	}
-	return b, nil
+	return capacities, nil
 }
 
 func decodeBacklog(list []*wire.Wait) ([]message.WaitingTasks, error) {
 	backlog := make([]message.WaitingTasks, 0, len(list))
 	for _, w := range list {
 		needs, err := decodeNeeds(w.GetNeeds())
-		if err := errors.Join(err, checkCount(w.GetTasks())); err != nil {
+		smallest, smallestErr := decodeNeeds(w.GetSmallest())
+		if err := errors.Join(err, smallestErr, checkCount(w.GetTasks()), checkCount(w.GetShare())); err != nil {
 			return nil, err
 		}
+		if w.Smallest == nil {
+			smallest = needs // from a sender that reports only the largest
+		}
+		share := w.GetTasks()
+		if w.Share != nil {
+			share = w.GetShare()
+		}
 		backlog = append(backlog, message.WaitingTasks{
 			Priority: int(w.GetPriority()),
 			Late:     w.GetLate(),
@@ -147,6 +167,8 @@
 			Slack:    decodeDuration(w.GetSlackNs()),
 			Work:     decodeDuration(w.GetWorkNs()),
 			Needs:    needs,
+			Smallest: smallest,
+			Share:    int(share),
 		})
 	}
 	return backlog, nil
@@ -155,14 +177,67 @@
 func decodeArrivals(list []*wire.ArrivalRate) ([]message.ArrivalRate, error) {
 	var arrivals []message.ArrivalRate
 	for _, w := range list {
-		if slots := w.GetSlots(); !(slots >= 0 && slots <= math.MaxInt32) { // also excludes NaN
-			return nil, errOutOfRange
+		if err := errors.Join(checkAmount(w.GetSlots()), checkAmount(w.GetRefusedSlots()), checkName(w.GetDataCentre())); err != nil {
+			return nil, err
 		}
-		arrivals = append(arrivals, message.ArrivalRate{Priority: int(w.GetPriority()), Slots: w.GetSlots()})
+		arrivals = append(arrivals, message.ArrivalRate{Priority: int(w.GetPriority()), DataCentre: w.GetDataCentre(), Slots: w.GetSlots(), Refused: w.GetRefusedSlots()})
 	}
 	return arrivals, nil
 }
 
+func decodeViews(w *wire.DataCentreViews) (message.Body, error) {
+	b := message.DataCentreViews{}
+	for _, v := range w.GetViews() {
+		merger := decodeRef(v.GetMerger())
+		if err := errors.Join(checkName(v.GetDataCentre()), checkRef(merger), checkCount(v.GetInstances())); err != nil {
+			return nil, err
+		}
+		capacities, err := decodeCapacities(v.GetRooms())
+		if err != nil {
+			return nil, err
+		}
+		b.Views = append(b.Views, message.DataCentreView{
+			DataCentre: v.GetDataCentre(), Merger: merger, Sequence: v.GetSequence(),
+			Age: max(decodeDuration(v.GetAgeNs()), 0), Instances: int(v.GetInstances()), Capacities: capacities,
+		})
+	}
+	return b, nil
+}
+
+func decodeProfiles(w *wire.Profiles) (message.Body, error) {
+	b := message.Profiles{}
+	for _, e := range w.GetEndpoints() {
+		err := errors.Join(checkName(e.GetId()), checkAmount(e.GetSpeed()), checkCount(e.GetSamples()), checkAmount(e.GetFailedShare()), checkCount(e.GetOutcomes()))
+		if err != nil {
+			return nil, err
+		}
+		profile := message.EndpointProfile{
+			ID: e.GetId(), Speed: e.GetSpeed(), Samples: int(e.GetSamples()), FailedShare: min(e.GetFailedShare(), 1), Outcomes: int(e.GetOutcomes()),
+			EjectedFor: max(decodeDuration(e.GetEjectedForNs()), 0),
+		}
+		if e.GetBornMs() > 0 {
+			profile.StartedAt = time.UnixMilli(e.GetBornMs())
+		}
+		b.Endpoints = append(b.Endpoints, profile)
+	}
+	for _, q := range w.GetQueues() {
+		if err := errors.Join(checkName(q.GetQueue()), checkCount(q.GetSamples()), checkAmount(q.GetMedianRatio()), checkAmount(q.GetTailRatio())); err != nil {
+			return nil, err
+		}
+		b.Queues = append(b.Queues, message.QueueProfile{Queue: q.GetQueue(), Samples: int(q.GetSamples()), MedianRatio: q.GetMedianRatio(), TailRatio: q.GetTailRatio()})
+	}
+	return b, nil
+}
+
+// checkAmount checks a number that is not negative and not larger than any
+// count. It also excludes NaN.
+func checkAmount(n float64) error {
+	if !(n >= 0 && n <= math.MaxInt32) {
+		return errOutOfRange
+	}
+	return nil
+}
+
 func decodeLists(w *wire.Lists) (message.Body, error) {
 	b := message.Lists{}
 	for _, item := range w.GetInstances() {
@@ -213,5 +288,6 @@
 		Draining:   w.GetLeaving(),
 		Service:    w.GetService(),
 		Labels:     w.GetLabels(),
+		ColdFor:    max(decodeDuration(w.GetColdForNs()), 0),
 	}, nil
 }
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -14,7 +14,10 @@
 func encodePoolPackageBody(w *wire.Message, body message.Body) error {
 	switch b := body.(type) {
 	case message.Status:
-		w.Body = &wire.Message_Standing{Standing: &wire.Standing{Leaving: b.Draining, Version: b.Version, Endpoints: b.Endpoints, DataCentres: b.DataCentres}}
+		w.Body = &wire.Message_Standing{Standing: &wire.Standing{
+			Leaving: b.Draining, Version: b.Version, Endpoints: b.Endpoints, DataCentres: b.DataCentres,
+			Evacuations: encodeEvacuations(b.Evacuations),
+		}}
 	case message.FreeSlots:
 		w.Body = &wire.Message_Vacancies{Vacancies: encodeFreeSlots(b)}
 	case message.StartRun:
@@ -47,6 +50,10 @@
 		}}
 	case message.ListsRequest:
 		w.Body = &wire.Message_ListsRequest{ListsRequest: &wire.ListsRequest{}}
+	case message.DataCentreViews:
+		w.Body = &wire.Message_DataCentreViews{DataCentreViews: encodeViews(b)}
+	case message.Profiles:
+		w.Body = &wire.Message_Profiles{Profiles: encodeProfiles(b)}
 	default:
 		return fmt.Errorf("message of type %T has no wire form; add it to peer.proto", body)
 	}
@@ -70,11 +77,27 @@
 	}
 }
 
+// encodeEvacuations returns nil if the evacuations are not known.
+func encodeEvacuations(e message.Evacuations) *wire.Evacuations {
+	if e.Version == 0 {
+		return nil
+	}
+	return &wire.Evacuations{Version: e.Version, DataCentres: e.DataCentres}
+}
+
 func encodeFreeSlots(b message.FreeSlots) *wire.Vacancies {
-	w := &wire.Vacancies{}
-	for _, r := range b.Capacities {
-		capacity := &wire.Room{Service: r.Service, Places: int32(r.Slots), Free: int32(r.Free), Largest: encodeNeeds(r.Largest)}
-		for _, d := range r.Backlog {
+	return &wire.Vacancies{Rooms: encodeCapacities(b.Capacities)}
+}
+
+func encodeCapacities(list []message.Capacity) []*wire.Room {
+	var w []*wire.Room
+	for _, c := range list {
+		capacity := &wire.Room{
+			Service: c.Service, Places: int32(c.Slots), Free: int32(c.Free), Largest: encodeNeeds(c.Largest),
+			LeavingPlaces: c.Leaving, JoiningPlaces: c.Joining,
+		}
+		for _, d := range c.Backlog {
+			share := int32(d.Share)
 			capacity.Waits = append(capacity.Waits, &wire.Wait{
 				Priority: int32(d.Priority),
 				Late:     d.Late,
@@ -82,12 +105,53 @@
 				SlackNs:  int64(d.Slack),
 				WorkNs:   int64(d.Work),
 				Needs:    encodeNeeds(d.Needs),
+				Smallest: encodeNeeds(d.Smallest),
+				Share:    &share,
 			})
 		}
-		for _, a := range r.Arrivals {
-			capacity.Arrivals = append(capacity.Arrivals, &wire.ArrivalRate{Priority: int32(a.Priority), Slots: a.Slots})
+		for _, a := range c.Arrivals {
+			capacity.Arrivals = append(capacity.Arrivals, &wire.ArrivalRate{
+				Priority: int32(a.Priority), DataCentre: a.DataCentre, Slots: a.Slots, RefusedSlots: a.Refused,
+			})
 		}
-		w.Rooms = append(w.Rooms, capacity)
+		w = append(w, capacity)
+	}
+	return w
+}
+
+func encodeViews(b message.DataCentreViews) *wire.DataCentreViews {
+	w := &wire.DataCentreViews{}
+	for _, v := range b.Views {
+		w.Views = append(w.Views, &wire.DataCentreView{
+			DataCentre: v.DataCentre,
+			Merger:     encodeRef(v.Merger),
+			Sequence:   v.Sequence,
+			AgeNs:      int64(v.Age),
+			Instances:  int32(v.Instances),
+			Rooms:      encodeCapacities(v.Capacities),
+		})
+	}
+	return w
+}
+
+func encodeProfiles(b message.Profiles) *wire.Profiles {
+	w := &wire.Profiles{}
+	for _, e := range b.Endpoints {
+		item := &wire.EndpointProfile{
+			Id:           e.ID,
+			Speed:        e.Speed,
+			Samples:      int32(e.Samples),
+			FailedShare:  e.FailedShare,
+			Outcomes:     int32(e.Outcomes),
+			EjectedForNs: int64(e.EjectedFor),
+		}
+		if !e.StartedAt.IsZero() {
+			item.BornMs = e.StartedAt.UnixMilli()
+		}
+		w.Endpoints = append(w.Endpoints, item)
+	}
+	for _, q := range b.Queues {
+		w.Queues = append(w.Queues, &wire.QueueProfile{Queue: q.Queue, Samples: int32(q.Samples), MedianRatio: q.MedianRatio, TailRatio: q.TailRatio})
 	}
 	return w
 }
@@ -114,6 +178,7 @@
 			Leaving:    e.Draining,
 			Service:    e.Service,
 			Labels:     e.Labels,
+			ColdForNs:  int64(e.ColdFor),
 		}
 		if !e.StartedAt.IsZero() {
 			item.BornMs = e.StartedAt.UnixMilli()
