pool, metric: counts of offers; the simulation's receivers share no memory

A home's backlog draws an offer from every recipient. Nothing showed it: no count existed, and in the simulation all receivers of a report shared its memory, so that a task for which one holder had offered was gone for the others. Receivers get a copy now, as from the wire, and an instance counts offers sent, taken, declined and expired, the time they reserve and the slot time, as metrics.

--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -41,6 +41,17 @@
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
+		Offers         Offers
+	}
+
+	// Offers counts the offers of slots that the instance has made to others.
+	Offers struct {
+		// Sent counts all offers. Taken led to a start, Declined were of no use
+		// to the other instance, and Expired were not answered in time.
+		Sent, Taken, Declined, Expired int
+		// Reserved is the total time for which slots were reserved by offers
+		// that have ended, and SlotTime that for which the instance had slots.
+		Reserved, SlotTime time.Duration
 	}
 
 	// runnerCollector turns a snapshot into metrics at each scrape.
@@ -110,4 +121,10 @@
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
 	dst.add(heldRuns, float64(s.Runs))
+	dst.add(offersSent, float64(s.Offers.Sent))
+	dst.add(offersEnded, float64(s.Offers.Taken), "taken")
+	dst.add(offersEnded, float64(s.Offers.Declined), "declined")
+	dst.add(offersEnded, float64(s.Offers.Expired), "expired")
+	dst.add(offersReserved, s.Offers.Reserved.Seconds())
+	dst.add(slotTime, s.Offers.SlotTime.Seconds())
 }
--- a/metric/table.go
+++ b/metric/table.go
@@ -35,6 +35,10 @@
 	orders
 	openJobs
 	heldRuns
+	offersSent
+	offersEnded
+	offersReserved
+	slotTime
 	numMetrics
 )
 
@@ -102,4 +106,8 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
+	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
+	offersReserved:       {"lovagecrank_offer_reserved_seconds_total", counter, "seconds", nil, "On the platform: time for which slots were reserved by offers.", "If it exceeds 1 % of lovagecrank_slot_seconds_total while tasks wait, check the links between the instances."},
+	slotTime:             {"lovagecrank_slot_seconds_total", counter, "seconds", nil, "On the platform: time for which the endpoints that this instance holds had slots, counted in tasks of typical size and added up over the slots.", noAction},
 }
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -141,7 +141,9 @@
 
 		offers    map[uint64]*offer
 		lastOffer uint64
-		arrivals  arrivals
+		// offerCounts counts the offers, for metrics.
+		offerCounts OfferCounts
+		arrivals    arrivals
 		// typicalNeeds is what a task typically needs, by service.
 		typicalNeeds map[string]task.Needs
 
@@ -297,6 +299,7 @@
 	m.handleSuspension(now, out)
 	m.tickLate = m.resumed || now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
 	m.resumed = false
+	m.countSlotTime(now.Sub(m.lastTick))
 	m.lastTick, m.uncounted = now, 0
 	m.expireLostPeers(now, out)
 	m.replaceContacts(now, out)
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -25,6 +25,7 @@
 	peer     instance.Ref
 	endpoint *endpointState
 	needs    task.Needs
+	sentAt   time.Time
 	until    time.Time
 }
 
@@ -108,7 +109,8 @@
 
 func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, service string, needs task.Needs, out *Output) {
 	m.lastOffer++
-	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, endpoint: e, needs: needs, until: now.Add(offerTTL)}
+	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
+	m.offerCounts.Sent++
 	e.used = addScaled(e.used, needs, 1)
 	e.reserved++
 	m.send(p.info.Ref, message.Offer{
@@ -116,14 +118,15 @@
 	}, out)
 }
 
-// removeOffer removes an offer and its reservation and returns its endpoint, or
-// nil if there is no such offer.
-func (m *Machine) removeOffer(number uint64) *endpointState {
+// removeOffer removes an offer that has ended and its reservation, and returns
+// its endpoint, or nil if there is no such offer.
+func (m *Machine) removeOffer(now time.Time, number uint64, end offerEnd) *endpointState {
 	o, ok := m.offers[number]
 	if !ok {
 		return nil
 	}
 	delete(m.offers, number)
+	m.offerCounts.countEnd(now, o, end)
 	if o.endpoint.reserved > 0 { // zero if the endpoint was released meanwhile
 		o.endpoint.reserved--
 		o.endpoint.used = addScaled(o.endpoint.used, o.needs, -1)
@@ -137,15 +140,15 @@
 func (m *Machine) expireOffers(now time.Time) {
 	for _, number := range m.offerNumbers() {
 		if o := m.offers[number]; !now.Before(o.until) {
-			m.removeOffer(number)
+			m.removeOffer(now, number, offerExpired)
 		}
 	}
 }
 
-func (m *Machine) removeOffersTo(ref instance.Ref) {
+func (m *Machine) removeOffersTo(now time.Time, ref instance.Ref) {
 	for _, number := range m.offerNumbers() {
 		if o := m.offers[number]; o.peer == ref {
-			m.removeOffer(number)
+			m.removeOffer(now, number, offerExpired)
 		}
 	}
 }
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -106,7 +106,7 @@
 	m.lostPeers[ref] = p
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
-	m.removeOffersTo(ref)
+	m.removeOffersTo(now, ref)
 	out.wakeAt(now.Add(reconnectTimeout + time.Millisecond))
 	m.advance(now, out)
 }
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -26,11 +26,13 @@
 	// platform's list for the whole data centre.
 	Connected, LocalPeers []instance.Ref
 	ReaderRank            int
+	// Offers counts the offers of slots to peers.
+	Offers OfferCounts
 }
 
 // View returns a snapshot of the machine.
 func (m *Machine) View(now time.Time) View {
-	v := View{Jobs: len(m.jobs), Connected: make([]instance.Ref, 0, len(m.sortedPeers)), Waiting: map[string]int{}}
+	v := View{Jobs: len(m.jobs), Connected: make([]instance.Ref, 0, len(m.sortedPeers)), Waiting: map[string]int{}, Offers: m.offerCounts}
 	for _, j := range m.jobs {
 		if !j.mayHaveStarted() {
 			v.Waiting[j.Queue.Name]++
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -35,7 +35,7 @@
 		m.handleOffer(now, p, b, out)
 	case message.Decline:
 		if o := m.offers[b.Number]; o != nil && o.peer == p.info.Ref {
-			m.removeOffer(b.Number)
+			m.removeOffer(now, b.Number, offerDeclined)
 		}
 	}
 	m.advance(now, out)
@@ -58,7 +58,7 @@
 	var e *endpointState
 	if s.Offer != 0 {
 		if o := m.offers[s.Offer]; o != nil && o.peer == p.info.Ref {
-			e = m.removeOffer(s.Offer)
+			e = m.removeOffer(now, s.Offer, offerTaken)
 		}
 	}
 	if e == nil || !e.accepts(now, s) {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,6 +125,12 @@
 
 // newFleet is like newSimulation for any number of data centres.
 func newFleet(t testing.TB, seed uint64, dataCentres, instances, endpoints int) *simulation {
+	return newFleetOfSize(t, seed, dataCentres, instances, endpoints, 0)
+}
+
+// newFleetOfSize is like newFleet for instances with that many cores; zero means
+// that it is not known.
+func newFleetOfSize(t testing.TB, seed uint64, dataCentres, instances, endpoints int, cores float64) *simulation {
 	sim := &simulation{
 		byRef:       map[instance.Ref]*fakeInstance{},
 		byID:        map[string]*fakeEndpoint{},
@@ -138,7 +145,8 @@
 	sim.observer = newObserver(sim)
 	for i := range instances {
 		sim.instances = append(sim.instances, &fakeInstance{index: i, self: instance.Info{
-			Ref: instance.Ref{DataCentre: sim.dataCentre(i), ID: fmt.Sprintf("n%d", i)},
+			Ref:   instance.Ref{DataCentre: sim.dataCentre(i), ID: fmt.Sprintf("n%d", i)},
+			Cores: cores,
 		}})
 	}
 	for i := range endpoints {
@@ -357,6 +365,7 @@
 		return
 	}
 	sim.messages++
+	msg.Body = received(msg.Body)
 	sim.after(testOneWayDelay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
@@ -365,6 +374,21 @@
 	})
 }
 
+// received returns the body as a receiver decodes it. Receivers change the reports
+// that they keep, and share no memory with each other or with the sender.
+func received(body message.Body) message.Body {
+	f, ok := body.(message.FreeSlots)
+	if !ok {
+		return body
+	}
+	f.Capacities = slices.Clone(f.Capacities)
+	for i := range f.Capacities {
+		c := &f.Capacities[i]
+		c.Backlog, c.Arrivals = slices.Clone(c.Backlog), slices.Clone(c.Arrivals)
+	}
+	return f
+}
+
 var address = netip.MustParseAddrPort("10.0.0.1:1")
 
 func needs(cores float64) task.Needs { return task.Needs{Cores: cores, MemoryBytes: 1 << 20} }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -20,5 +20,9 @@
 		Jobs:                 v.Jobs,
 		Runs:                 v.Running,
 		EndpointStates:       map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
+		Offers: metric.Offers{
+			Sent: v.Offers.Sent, Taken: v.Offers.Taken, Declined: v.Offers.Declined, Expired: v.Offers.Expired,
+			Reserved: v.Offers.Reserved, SlotTime: v.Offers.SlotTime,
+		},
 	}
 }
