pool: divide waiting tasks among the holders

Cause: every recipient of a backlog offered slots for all of it. Now the home divides: each recipient gets a share, in proportion to its slots and in turns, and offers for no more; what a holder does not serve within 25 ms goes to another one. A changed share is sent only to its holder; a changed view goes to all at the slow pace, also when the backlog grew.

--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// minSendInterval is the minimum time between two messages if the second
-	// one has changes that peers wait for: a few one-way delays between data
-	// centres.
+	// minSendInterval is the minimum time between two messages of which the
+	// second one changes shares: a few one-way delays between data centres.
 	minSendInterval = 4 * time.Millisecond
 	// shiftSendInterval is the minimum time between two messages if the second
 	// one has changes that affect where peers place tasks, and
@@ -20,9 +19,9 @@
 	minorSendInterval = 200 * time.Millisecond
 	// messageCost is the approximate processor time of one message to one peer.
 	// backlogCPUShare and otherCPUShare are the shares of the processor for
-	// grown backlogs and for all other changes. The target for all control work
-	// is 3.9 % of the processor. backlogCPUShare may exceed it because backlogs
-	// grow continuously only while many tasks wait.
+	// changed shares of backlogs and for all other changes. The target for all control work
+	// is 3.9 % of the processor. backlogCPUShare may exceed it because shares
+	// change continuously only while many tasks wait.
 	messageCost     = 40 * time.Microsecond
 	backlogCPUShare = 0.05
 	otherCPUShare   = 0.01
@@ -36,6 +35,8 @@
 	lastSent   message.FreeSlots
 	sentAt     time.Time
 	recipients []*peer
+	// nextAt is when the next message to any of them may be sent.
+	nextAt time.Time
 }
 
 // capacity returns the last capacity that the peer reported for a service, or
@@ -53,32 +54,60 @@
 }
 
 // handleFreeSlots handles a peer's report of its free slots and backlog.
-func (p *peer) handleFreeSlots(now time.Time, v message.FreeSlots) {
+func (m *Machine) handleFreeSlots(now time.Time, p *peer, v message.FreeSlots) {
 	p.capacities, p.capacitiesAt = v.Capacities, now
+	for i := range p.capacities {
+		c := &p.capacities[i]
+		for k := range c.Backlog {
+			w := &c.Backlog[k]
+			w.Share = min(w.Share, w.Tasks) - m.openOffers(p.info.Ref, shareKey{c.Service, w.Priority, w.Late})
+		}
+	}
 }
 
 // broadcastFreeSlots sends the own free slots and backlog to the recipients if
-// they changed.
+// they changed, or only the shares of the backlog to those whose share changed.
 func (m *Machine) broadcastFreeSlots(now time.Time, out *Output) {
-	if due := m.freeSlots.sentAt.Add(minSendInterval); now.Before(due) {
+	if due := m.freeSlots.nextAt; now.Before(due) {
 		out.wakeAt(due)
 		return
 	}
 	v := m.ownFreeSlots(now)
+	m.divideBacklog(now, v)
+	if due := m.shares.nextTimeout(); !due.IsZero() {
+		out.wakeAt(due)
+	}
+	recipients := m.recipients()
+	if !m.viewDue(now, v, out) {
+		recipients = m.withChangedShare(recipients)
+	} else {
+		m.freeSlots.lastSent, m.freeSlots.sentAt = v, now
+		m.clearFormerRecipients(recipients, out)
+		m.freeSlots.recipients = recipients
+	}
+	if len(recipients) == 0 {
+		return
+	}
+	m.freeSlots.nextAt = now.Add(m.sendInterval(len(recipients), minSendInterval, backlogCPUShare))
+	for _, p := range recipients {
+		m.send(p.info.Ref, m.withShares(v, p.info.Ref), out)
+		m.shares.sent(p.info.Ref)
+	}
+}
+
+// viewDue reports whether the free slots and the backlog must be sent to all
+// recipients now.
+func (m *Machine) viewDue(now time.Time, v message.FreeSlots, out *Output) bool {
 	delay := m.sendDelay(v)
 	if delay < 0 {
-		return
+		return false
 	}
-	if due := m.freeSlots.sentAt.Add(delay); now.Before(due) {
+	due := m.freeSlots.sentAt.Add(delay)
+	if now.Before(due) {
 		out.wakeAt(due)
-		return
-	}
-	m.freeSlots.lastSent, m.freeSlots.sentAt = v, now
-	m.clearFormerRecipients(m.recipients(), out)
-	m.freeSlots.recipients = m.recipients()
-	for _, p := range m.freeSlots.recipients {
-		m.send(p.info.Ref, v, out)
+		return false
 	}
+	return true
 }
 
 // clearFormerRecipients sends an empty report to the peers that are no longer
@@ -104,22 +133,19 @@
 			old = *sent
 		}
 		switch {
-		case backlogGrew(c.Backlog, old.Backlog):
-			return m.sendInterval(minSendInterval, backlogCPUShare)
-		case (c.Free == 0) != (old.Free == 0), freeSlotsShifted(c.Free, old.Free), c.Slots != old.Slots, backlogShrank(c.Backlog, old.Backlog):
-			delay = m.sendInterval(shiftSendInterval, otherCPUShare)
+		case (c.Free == 0) != (old.Free == 0), freeSlotsShifted(c.Free, old.Free), c.Slots != old.Slots, backlogChanged(c.Backlog, old.Backlog), backlogChanged(old.Backlog, c.Backlog):
+			delay = m.sendInterval(len(m.recipients()), shiftSendInterval, otherCPUShare)
 		case delay < 0 && (c.Free != old.Free || c.Largest != old.Largest):
-			delay = m.sendInterval(minorSendInterval, otherCPUShare)
+			delay = m.sendInterval(len(m.recipients()), minorSendInterval, otherCPUShare)
 		}
 	}
 	return delay
 }
 
-// sendInterval returns the minimum time between two messages that may use that
-// share of the processor. It is longer on a small machine and with many
-// recipients.
-func (m *Machine) sendInterval(shortest time.Duration, share float64) time.Duration {
-	cost := time.Duration(len(m.recipients())) * messageCost
+// sendInterval returns the minimum time after a message to that many peers if
+// messages may use that share of the processor.
+func (m *Machine) sendInterval(recipients int, shortest time.Duration, share float64) time.Duration {
+	cost := time.Duration(recipients) * messageCost
 	return max(shortest, time.Duration(float64(cost)/(share*m.cfg.Self.Size())))
 }
 
@@ -129,22 +155,10 @@
 	return float64(max(current, sent)-min(current, sent)) > minShiftShare*float64(max(current, sent))
 }
 
-// backlogGrew reports whether peers that know only the sent backlog would offer
-// too few slots, or slots for less urgent tasks.
-func backlogGrew(current, sent []message.WaitingTasks) bool {
-	for _, w := range current {
-		if w.Tasks > tasksOf(sent, w) {
-			return true
-		}
-	}
-	return false
-}
-
-// backlogShrank reports whether peers that know only the sent backlog would
-// offer too many slots.
-func backlogShrank(current, sent []message.WaitingTasks) bool {
-	for _, w := range sent {
-		if w.Tasks > tasksOf(current, w) {
+// backlogChanged reports whether more tasks of some urgency wait in a than in b.
+func backlogChanged(a, b []message.WaitingTasks) bool {
+	for _, w := range a {
+		if w.Tasks > tasksOf(b, w) {
 			return true
 		}
 	}
@@ -204,6 +218,9 @@
 	for _, t := range j.waiting {
 		step := j.Steps[t.step]
 		w.Tasks++
+		if step.Requires == "" && step.Spread == 0 {
+			w.Share++ // others can't be started on an offered slot
+		}
 		w.Work += step.Estimate
 		w.Needs = larger(w.Needs, step.Needs)
 	}
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -139,7 +139,10 @@
 
 		answerTimes answerTimes
 
-		offers    map[uint64]*offer
+		offers map[uint64]*offer
+		// shares are the shares of the waiting tasks that holders may offer
+		// slots for.
+		shares    shares
 		lastOffer uint64
 		// offerCounts counts the offers, for metrics.
 		offerCounts OfferCounts
@@ -173,6 +176,7 @@
 		parked:        map[string]*homeJob{},
 		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
+		shares:        newShares(cfg.Self.ID),
 		typicalNeeds:  map[string]task.Needs{},
 		answerTimes:   newAnswerTimes(),
 	}
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -23,6 +23,7 @@
 // offer is a slot reserved for a peer.
 type offer struct {
 	peer     instance.Ref
+	key      shareKey
 	endpoint *endpointState
 	needs    task.Needs
 	sentAt   time.Time
@@ -68,12 +69,13 @@
 			return
 		}
 		w.Tasks--
-		m.sendOffer(now, e, p, service, w.Needs, out)
+		w.Share--
+		m.sendOffer(now, e, p, shareKey{service, w.Priority, w.Late}, w.Needs, out)
 	}
 }
 
-// mostUrgentBacklog returns the most urgent backlog that the peers have
-// reported.
+// mostUrgentBacklog returns the most urgent backlog of the peers of which this
+// instance has a share.
 func (m *Machine) mostUrgentBacklog(now time.Time, service string) (*peer, *message.WaitingTasks) {
 	var at *peer
 	var best *message.WaitingTasks
@@ -84,7 +86,7 @@
 		}
 		for i := range c.Backlog {
 			w := &c.Backlog[i]
-			if w.Tasks <= 0 {
+			if w.Share <= 0 {
 				continue
 			}
 			if best == nil || cmp.Or(compareBool(w.Late, best.Late), cmp.Compare(w.Priority, best.Priority), cmp.Compare(p.slack(now, w), at.slack(now, best))) < 0 {
@@ -107,14 +109,14 @@
 	return p.slack(now, w)+urgencyMargin < j.startBy.Sub(now)
 }
 
-func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, service string, needs task.Needs, out *Output) {
+func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, key shareKey, needs task.Needs, out *Output) {
 	m.lastOffer++
-	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
+	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, key: key, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
 	m.offerCounts.Sent++
 	e.used = addScaled(e.used, needs, 1)
 	e.reserved++
 	m.send(p.info.Ref, message.Offer{
-		Number: m.lastOffer, Service: service, Needs: needs,
+		Number: m.lastOffer, Service: key.service, Needs: needs,
 	}, out)
 }
 
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -40,6 +40,10 @@
 		// capacities is the last capacity report received, at capacitiesAt.
 		capacities   []message.Capacity
 		capacitiesAt time.Time
+		// listedSlots is how many slots the listed endpoints that the peer holds
+		// have, by service, as counted at listedSlotsAt.
+		listedSlots   map[string]int
+		listedSlotsAt time.Time
 		// lostAt is when the peer's stream ended; zero while it is open.
 		lostAt time.Time
 		// reconnected reports that the peer reconnected in time, so that the
@@ -107,6 +111,8 @@
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
 	m.removeOffersTo(now, ref)
+	m.shares.remove(ref)
+	p.clearShares()
 	out.wakeAt(now.Add(reconnectTimeout + time.Millisecond))
 	m.advance(now, out)
 }
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -21,7 +21,7 @@
 	case message.Status:
 		m.handleStatus(p, b)
 	case message.FreeSlots:
-		p.handleFreeSlots(now, b)
+		m.handleFreeSlots(now, p, b)
 	case message.StartRun:
 		m.startForPeer(now, p, b, out)
 	case message.StopRun:
@@ -90,6 +90,7 @@
 				continue
 			}
 			s.Offer = o.Number
+			m.shares.offered(now, o.Service, p.info.Ref, true)
 			j.waiting = slices.Delete(j.waiting, i, i+1)
 			m.placeOnPeer(t, p, s, out)
 			if len(j.waiting) == 0 {
@@ -98,6 +99,7 @@
 			return
 		}
 	}
+	m.shares.offered(now, o.Service, p.info.Ref, false)
 	m.send(p.info.Ref, message.Decline{Number: o.Number}, out)
 }
 
--- /dev/null
+++ b/pool/sharing.go
@@ -0,0 +1,120 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/message"
+)
+
+// listedSlotsAge is how long the number of a peer's listed slots is used.
+const listedSlotsAge = 200 * time.Millisecond
+
+// divideBacklog divides the waiting tasks of the report among the recipients.
+func (m *Machine) divideBacklog(now time.Time, v message.FreeSlots) {
+	for k := range m.shares.open {
+		if c := capacityOf(v.Capacities, k.service); c == nil || waitingTasks(c.Backlog, k) == nil {
+			m.shares.divide(now, k, 0, nil)
+		}
+	}
+	for _, c := range v.Capacities {
+		if len(c.Backlog) == 0 {
+			continue
+		}
+		receivers := m.receivers(now, c.Service)
+		for _, w := range c.Backlog {
+			m.shares.divide(now, shareKey{c.Service, w.Priority, w.Late}, w.Share, receivers)
+		}
+	}
+}
+
+// waitingTasks returns the tasks of that kind in a backlog, or nil.
+func waitingTasks(backlog []message.WaitingTasks, k shareKey) *message.WaitingTasks {
+	for i := range backlog {
+		if w := &backlog[i]; w.Priority == k.priority && w.Late == k.late {
+			return w
+		}
+	}
+	return nil
+}
+
+// receivers returns the recipients that may get shares of the waiting tasks of a
+// service.
+func (m *Machine) receivers(now time.Time, service string) []receiver {
+	var list []receiver
+	for _, p := range m.recipients() {
+		if p.status.Draining {
+			continue
+		}
+		if n := m.slotsOf(now, p, service); n > 0 {
+			list = append(list, receiver{p.info.Ref, n})
+		}
+	}
+	return list
+}
+
+// slotsOf returns how many slots of a service a peer has: as it reports, or, if
+// it does not report to this instance, those of the listed endpoints that it
+// holds.
+func (m *Machine) slotsOf(now time.Time, p *peer, service string) int {
+	if c := p.capacity(service); c != nil {
+		return c.Slots
+	}
+	if p.listedSlots == nil || now.Sub(p.listedSlotsAt) > listedSlotsAge {
+		p.listedSlots, p.listedSlotsAt = map[string]int{}, now
+		for _, id := range p.status.Endpoints {
+			if e := m.endpoints[id]; e != nil && !e.info.Draining {
+				p.listedSlots[e.info.Service] += fittingTasks(m.typicalNeeds[e.info.Service], e.info.Size, e.info.Slots)
+			}
+		}
+	}
+	return p.listedSlots[service]
+}
+
+// withChangedShare returns the recipients that do not know their share.
+func (m *Machine) withChangedShare(recipients []*peer) []*peer {
+	var list []*peer
+	for _, p := range recipients {
+		if m.shares.changedFor(p.info.Ref) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// withShares returns the report with the receiver's shares.
+func (m *Machine) withShares(v message.FreeSlots, to instance.Ref) message.FreeSlots {
+	v.Capacities = slices.Clone(v.Capacities)
+	for i := range v.Capacities {
+		c := &v.Capacities[i]
+		c.Backlog = slices.Clone(c.Backlog)
+		for k := range c.Backlog {
+			w := &c.Backlog[k]
+			w.Share = m.shares.shareOf(shareKey{c.Service, w.Priority, w.Late}, to)
+		}
+	}
+	return v
+}
+
+// openOffers returns how many offers to the peer for that kind of tasks are
+// open. The peer has not seen them when it sent a message that arrives now, since
+// it answers each one at once and messages of a stream keep their order.
+func (m *Machine) openOffers(to instance.Ref, k shareKey) int {
+	n := 0
+	for _, o := range m.offers {
+		if o.peer == to && o.key == k {
+			n++
+		}
+	}
+	return n
+}
+
+// clearShares forgets the shares of a peer whose stream has ended.
+func (p *peer) clearShares() {
+	for _, c := range p.capacities {
+		for k := range c.Backlog {
+			c.Backlog[k].Share = 0
+		}
+	}
+}
