--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -19,57 +19,69 @@
 	return float64(t.inGoal) / float64(max(t.submitted, 1)), float64(t.refused) / float64(max(t.submitted, 1))
 }
 
-// generateMixedLoad submits the users' mix of jobs for the given time. load is
-// the share of the slots that the jobs keep busy. It returns the tallies by
-// queue.
+// mix is the users' mix of jobs.
+var mix = []struct {
+	queue *route.Queue
+	tasks int
+	run   time.Duration
+	share float64 // of all jobs
+}{
+	{urgent, 8, 60 * time.Millisecond, 34.4},
+	{longRuns, 4, 900 * time.Millisecond, 6.25},
+	{routine, 2, 200 * time.Millisecond, 100},
+}
+
+var longRuns = &route.Queue{Name: "long", Service: "s", Priority: 2, Attempts: 3, SlackFactor: 1.6, Target: 60 * time.Millisecond}
+
+// generateMixedLoad submits the users' mix of jobs for the given time, to all
+// instances alike. load is the share of the slots that the jobs keep busy. It
+// returns the tallies by queue.
 func (sim *simulation) generateMixedLoad(d time.Duration, load float64) map[string]*tally {
-	long := &route.Queue{Name: "long", Service: "s", Priority: 2, Attempts: 3, SlackFactor: 1.6, Target: 60 * time.Millisecond}
-	kinds := []struct {
-		queue *route.Queue
-		tasks int
-		run   time.Duration
-		share float64 // of all jobs
-	}{
-		{urgent, 8, 60 * time.Millisecond, 34.4},
-		{long, 4, 900 * time.Millisecond, 6.25},
-		{routine, 2, 200 * time.Millisecond, 100},
-	}
+	return sim.generateLoadAt(d, load, func() int { return sim.loadRNG.IntN(len(sim.instances)) })
+}
+
+// generateLoadAt is like generateMixedLoad and submits each job to the instance that
+// pick returns.
+func (sim *simulation) generateLoadAt(d time.Duration, load float64, pick func() int) map[string]*tally {
 	tallies := map[string]*tally{}
 	work, totalShare := 0.0, 0.0
-	for _, k := range kinds {
+	for _, k := range mix {
 		tallies[k.queue.Name] = &tally{}
 		work += k.share * float64(k.tasks) * k.run.Seconds()
 		totalShare += k.share
 	}
-	slots := 2 * float64(len(sim.endpoints)) // two tasks of 6.8 cores on 16
-	gap := time.Duration(float64(time.Second) * work / totalShare / (slots * load))
+	gap := time.Duration(float64(time.Second) * work / totalShare / (float64(sim.slots()) * load))
 	end := sim.now.Add(d)
 	var next func()
 	next = func() {
 		if sim.now.After(end) {
 			return
 		}
-		draw := sim.rng.Float64() * totalShare
-		k := kinds[0]
-		for _, o := range kinds {
+		draw := sim.loadRNG.Float64() * totalShare
+		k := mix[0]
+		for _, o := range mix {
 			if draw -= o.share; draw <= 0 {
 				k = o
 				break
 			}
 		}
-		estimate := time.Duration((0.6 + 0.8*sim.rng.Float64()) * float64(k.run))
+		estimate := time.Duration((0.6 + 0.8*sim.loadRNG.Float64()) * float64(k.run))
 		c := sim.newJob(k.queue, 2500*time.Millisecond, step(k.tasks, estimate))
 		c.tally = tallies[k.queue.Name]
 		c.tally.submitted++
 		c.runTime = k.run
 		c.goal = sim.now.Add(k.queue.Goal(k.run))
-		sim.sendJob(c, sim.rng.IntN(len(sim.instances)))
-		sim.after(time.Duration(sim.rng.ExpFloat64()*float64(gap)), next)
+		sim.reference.add(sim.now, c)
+		sim.sendJob(c, pick())
+		sim.after(time.Duration(sim.loadRNG.ExpFloat64()*float64(gap)), next)
 	}
 	next()
 	return tallies
 }
 
+// slots returns how many tasks of 6.8 cores the endpoints of 16 cores can run.
+func (sim *simulation) slots() int { return 2 * len(sim.endpoints) }
+
 // TestOrdersCarriedOutLate checks the share of jobs within their goal while
 // 5.5 % of all orders get no answer and are carried out seconds later, as in a
 // network that drops answers. Neither a start nor a poll may take its whole
@@ -106,7 +118,7 @@
 	}
 }
 
-func logTallies(t *testing.T, tallies map[string]*tally) {
+func logTallies(t testing.TB, tallies map[string]*tally) {
 	for _, name := range []string{"urgent", "routine", "long"} {
 		y := tallies[name]
 		inGoal, refused := y.shares()
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -34,11 +34,13 @@
 	// simulation runs instances, endpoints and callers on a virtual clock. The
 	// observer checks what happens on its links.
 	simulation struct {
-		t         testing.TB
-		now       time.Time
-		events    eventHeap
-		sequence  int
-		rng       *rand.Rand
+		t        testing.TB
+		now      time.Time
+		events   eventHeap
+		sequence int
+		rng      *rand.Rand
+		// loadRNG draws the load, which is thus the same whatever the instances do.
+		loadRNG   *rand.Rand
 		instances []*fakeInstance
 		endpoints []*fakeEndpoint
 		// byRef has the instances by their current incarnation.
@@ -68,6 +70,8 @@
 		lastJob           int
 		// messages counts the messages between instances.
 		messages int
+		// reference has the jobs of the generated load.
+		reference referenceQueue
 		// log has the events of all instances.
 		log []event.Record
 	}
@@ -138,6 +142,7 @@
 		t:           t,
 		now:         time.Unix(1_800_000_000, 0),
 		rng:         rand.New(rand.NewPCG(seed, 1)),
+		loadRNG:     rand.New(rand.NewPCG(seed, 2)),
 		partitions:  map[[2]int]int{},
 		unreachable: map[[2]int]bool{},
 		calls:       map[uint64]*attempt{},
