pool: count the tasks that are expected to fit, and place tasks where others still fit

Cause: slots were counted as whole tasks of the mean size, int(size/mean). Where tasks need half of an endpoint on average, the count jumped between one and two with each instance's own average: 128 to 224 slots of 96 endpoints at one moment (TestSlotsOfUnevenSizes). Free slots were counted the same way, and what offers had reserved was subtracted twice. An instance without jobs of its own counted eight for each endpoint. Of two endpoints of equal speed the emptier one got the task, so that the room next to a run stayed unused.

Ruled out: a smaller weight of the average alone (the jump stays); work in cores instead of slots (peers and the reports count slots).

Change: mean and variance of the cores are learnt for each service, also from runs for peers, and the expected number of tasks that fit is the sum of the probabilities that one, two, ... of them do. With equal sizes it is the whole number that it was. Among endpoints of similar slowdown the task goes where it displaces the fewest others.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -74,12 +74,12 @@
 }
 
 // refusal returns why a job that has not started can't be served in time, or
-// nil, and the load that it finds. It includes the job in the typical needs
+// nil, and the load that it finds. It includes the job in the sizes of tasks
 // unless the job is too large for every endpoint.
 func (m *Machine) refusal(now time.Time, j *homeJob) (*fault.Error, load) {
 	fits := m.fitsAnyEndpoint(j.Job)
 	if fits {
-		m.updateTypicalNeeds(j)
+		m.countSizes(j)
 	}
 	l := m.load(now, j)
 	if !fits {
@@ -217,16 +217,16 @@
 	return m.listedSlots(service) * min(instances, maxRecipients+1) / instances
 }
 
-// listedSlots returns how many tasks of typical size all listed endpoints of a
-// service can run.
+// listedSlots returns how many tasks all listed endpoints of a service are
+// expected to run.
 func (m *Machine) listedSlots(service string) int {
-	total := 0
+	total, sizes := 0.0, m.sizesOf(service)
 	for _, e := range m.sortedEndpoints {
 		if e.info.Service == service && !e.info.Draining {
-			total += fittingTasks(m.typicalNeeds[service], e.info.Size, e.info.Slots)
+			total += sizes.fits(e.info.Size, e.info.Slots)
 		}
 	}
-	return total
+	return int(math.Round(total))
 }
 
 // totalWork returns the expected run time of all tasks of the job.
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -81,9 +81,8 @@
 		// possiblyStarted reports that a run may have started, even if no task
 		// is placed now.
 		possiblyStarted bool
-		// needsCounted reports that the job's needs are included in
-		// typicalNeeds.
-		needsCounted bool
+		// sizesCounted reports that the job's tasks are included in taskSizes.
+		sizesCounted bool
 		// deferred reports that the job can't meet its goal any more. late
 		// reports that this was known when it was admitted, so that it is served
 		// after all others.
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -58,7 +58,11 @@
 			}
 		}
 		estimate := time.Duration((0.6 + 0.8*sim.rng.Float64()) * float64(k.run))
-		c := sim.newJob(k.queue, 2500*time.Millisecond, step(k.tasks, estimate))
+		tasks := step(k.tasks, estimate)
+		if sim.taskCores != nil {
+			tasks.Needs = needs(sim.taskCores())
+		}
+		c := sim.newJob(k.queue, 2500*time.Millisecond, tasks)
 		c.tally = tallies[k.queue.Name]
 		c.tally.submitted++
 		c.runTime = k.run
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -10,7 +10,6 @@
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/task"
 )
 
 const (
@@ -142,8 +141,8 @@
 		offers    map[uint64]*offer
 		lastOffer uint64
 		arrivals  arrivals
-		// typicalNeeds is what a task typically needs, by service.
-		typicalNeeds map[string]task.Needs
+		// taskSizes describes the sizes of tasks, by service.
+		taskSizes map[string]*taskSizes
 
 		status    statusState
 		freeSlots freeSlotsState
@@ -171,7 +170,7 @@
 		parked:        map[string]*homeJob{},
 		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
-		typicalNeeds:  map[string]task.Needs{},
+		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 	}
 }
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// needsWeight is the weight of one task in the moving average of a
-	// service's needs.
-	needsWeight = 0.02
 	// loadWeight makes the load decide between endpoints of similar slowdown.
 	// It is about the error of the measured slowdown.
 	loadWeight = 0.05
+	// fitWeight makes the room that a task leaves for others decide between
+	// endpoints of similar slowdown.
+	fitWeight = 0.25
 	// otherRackFactor is how many times longer a task takes outside the rack
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
@@ -172,15 +172,17 @@
 }
 
 // pickEndpoint returns the best held endpoint that can run the task now, or
-// nil. It prefers the requested rack, then speed, then low load.
+// nil. It prefers the requested rack, then speed, then a slot that leaves room for
+// as many other tasks as possible, then low load.
 func (m *Machine) pickEndpoint(now time.Time, s message.StartRun) *endpointState {
 	var best *endpointState
 	bestScore := math.Inf(1)
+	sizes := m.sizesOf(s.Service)
 	for _, e := range m.held {
 		if !e.accepts(now, s) {
 			continue
 		}
-		score := e.score(s)
+		score := e.score(s) + fitWeight*sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
 		if score < bestScore {
 			best, bestScore = e, score
 		}
@@ -230,43 +232,31 @@
 	return slowdown + loadWeight*load
 }
 
-// slots returns how many tasks of typical size the endpoint can run in total
-// and how many more now.
-func (e *endpointState) slots(now time.Time, typical task.Needs) (total, free int) {
+// slots returns how many tasks of the given sizes the endpoint is expected to run
+// in total and how many more now.
+func (e *endpointState) slots(now time.Time, sizes taskSizes) (total, free float64) {
 	if !e.ready(now) {
 		return 0, 0
 	}
-	total = fittingTasks(typical, e.info.Size, e.info.Slots)
-	remaining := addScaled(e.info.Size, e.used, -1)
-	free = fittingTasks(typical, remaining, e.info.Slots-len(e.runs)) - e.reserved
-	return total, max(free, 0)
+	return sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved)
 }
 
-// fittingTasks returns how many tasks of that size fit into the available
-// resources and slots.
-func fittingTasks(size, available task.Needs, slots int) int {
-	n := max(slots, 0)
-	if size.Cores > 0 {
-		n = min(n, int(available.Cores/size.Cores+1e-6))
-	}
-	if size.MemoryBytes > 0 {
-		n = min(n, int(available.MemoryBytes/size.MemoryBytes))
-	}
-	return max(n, 0)
-}
+// remaining returns the resources that are neither used nor reserved.
+func (e *endpointState) remaining() task.Needs { return addScaled(e.info.Size, e.used, -1) }
 
 // slotTotals returns the total and free slots of a service on the endpoints
 // held here.
 func (m *Machine) slotTotals(now time.Time, service string) (total, free int) {
-	typical := m.typicalNeeds[service]
+	sizes := m.sizesOf(service)
+	allSlots, allFree := 0.0, 0.0
 	for _, e := range m.held {
 		if e.info.Service == service {
-			a, f := e.slots(now, typical)
-			total += a
-			free += f
+			a, f := e.slots(now, sizes)
+			allSlots += a
+			allFree += f
 		}
 	}
-	return total, free
+	return int(math.Round(allSlots)), int(math.Round(allFree))
 }
 
 // largestFree returns the free resources of the held endpoint that has the most
@@ -277,7 +267,7 @@
 		if e.info.Service != service || !e.ready(now) || len(e.runs)+e.reserved >= e.info.Slots {
 			continue
 		}
-		if remaining := addScaled(e.info.Size, e.used, -1); remaining.Cores > largest.Cores {
+		if remaining := e.remaining(); remaining.Cores > largest.Cores {
 			largest = remaining
 		}
 	}
@@ -288,23 +278,3 @@
 	_, free := m.slotTotals(now, service)
 	return free
 }
-
-// updateTypicalNeeds includes the needs of a job in the typical needs of its
-// service.
-func (m *Machine) updateTypicalNeeds(j *homeJob) {
-	if j.needsCounted {
-		return
-	}
-	j.needsCounted = true
-	for _, s := range j.Steps {
-		typical, ok := m.typicalNeeds[j.Queue.Service]
-		if !ok {
-			m.typicalNeeds[j.Queue.Service] = s.Needs
-			continue
-		}
-		weight := min(needsWeight*float64(s.Tasks), 1)
-		typical.Cores += weight * (s.Needs.Cores - typical.Cores)
-		typical.MemoryBytes += int64(weight * float64(s.Needs.MemoryBytes-typical.MemoryBytes))
-		m.typicalNeeds[j.Queue.Service] = typical
-	}
-}
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -55,6 +55,7 @@
 // startForPeer starts a task for a peer, or reports at once that it was not
 // run.
 func (m *Machine) startForPeer(now time.Time, p *peer, s message.StartRun, out *Output) {
+	m.countSize(s.Service, s.Needs, 1)
 	var e *endpointState
 	if s.Offer != 0 {
 		if o := m.offers[s.Offer]; o != nil && o.peer == p.info.Ref {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -62,9 +62,12 @@
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
-		calls             map[uint64]*attempt
-		lastCall          uint64
-		lastJob           int
+		// taskCores returns the cores that the tasks of the next job need; nil means
+		// that all need the same.
+		taskCores func() float64
+		calls     map[uint64]*attempt
+		lastCall  uint64
+		lastJob   int
 		// messages counts the messages between instances.
 		messages int
 		// log has the events of all instances.
