pool: room that is too small for one task goes to a smaller one

Cause: the first waiting task that fitted nowhere ended the placement for its service, so that all slots of the instance stayed idle until an endpoint was empty enough; and offers were as large as the largest waiting task of a peer's backlog, so that room for all the others was not offered.

Change: only tasks that need no less than one that found no slot are passed over; a backlog also says what its smallest task needs, and an offer is as large as the room on its endpoint, up to the largest task. A home uses it for its most urgent task that fits.

Weighed: keeping an endpoint free for a large task that waits. Not built: with the users' sizes a third of the endpoints has room for the largest.

Without network: TestLargeTaskBlocksNoSmallerOne failed before with one instance (own slots) and with two (offers).

--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/task"
 )
 
 const (
@@ -203,16 +202,13 @@
 	w := &c.Backlog[last]
 	for _, t := range j.waiting {
 		step := j.Steps[t.step]
+		if w.Tasks == 0 {
+			w.Smallest = step.Needs
+		}
 		w.Tasks++
+		w.Share++
 		w.Work += step.Estimate
 		w.Needs = larger(w.Needs, step.Needs)
-	}
-}
-
-func larger(a, b task.Needs) task.Needs {
-	return task.Needs{
-		Cores:        max(a.Cores, b.Cores),
-		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: max(a.Accelerators, b.Accelerators),
+		w.Smallest = smaller(w.Smallest, step.Needs)
 	}
 }
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -58,22 +58,26 @@
 // than the job. If j is nil, it offers them for all waiting tasks of peers.
 func (m *Machine) offerMoreUrgent(now time.Time, service string, j *homeJob, out *Output) {
 	for {
-		p, w := m.mostUrgentBacklog(now, service)
+		room := m.largestFree(now, service)
+		p, w := m.mostUrgentBacklog(now, service, room)
 		if p == nil || j != nil && !moreUrgent(now, p, w, j) {
 			return
 		}
 		e := m.pickEndpoint(now, message.StartRun{Service: service, Needs: w.Needs})
+		if e == nil {
+			e = m.pickEndpoint(now, message.StartRun{Service: service, Needs: w.Smallest})
+		}
 		if e == nil {
 			return
 		}
 		w.Tasks--
-		m.sendOffer(now, e, p, service, w.Needs, out)
+		m.sendOffer(now, e, p, service, smaller(w.Needs, e.remaining()), out)
 	}
 }
 
 // mostUrgentBacklog returns the most urgent backlog that the peers have
-// reported.
-func (m *Machine) mostUrgentBacklog(now time.Time, service string) (*peer, *message.WaitingTasks) {
+// reported, of those with a task that may fit into the room.
+func (m *Machine) mostUrgentBacklog(now time.Time, service string, room task.Needs) (*peer, *message.WaitingTasks) {
 	var at *peer
 	var best *message.WaitingTasks
 	for _, p := range m.sortedPeers {
@@ -83,7 +87,7 @@
 		}
 		for i := range c.Backlog {
 			w := &c.Backlog[i]
-			if w.Tasks <= 0 {
+			if w.Tasks <= 0 || !fitsWithin(w.Smallest, room) {
 				continue
 			}
 			if best == nil || cmp.Or(compareBool(w.Late, best.Late), cmp.Compare(w.Priority, best.Priority), cmp.Compare(p.slack(now, w), at.slack(now, best))) < 0 {
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -24,12 +24,13 @@
 )
 
 // placeTasks assigns free slots to the most urgent tasks, whether they wait
-// here or at a peer.
+// here or at a peer. A slot that is too small for a more urgent task goes to a
+// smaller one.
 func (m *Machine) placeTasks(now time.Time, out *Output) {
 	m.resolveUnconfirmed(now, out)
-	var full []string
+	blocked := blockedSizes{}
 	for _, j := range slices.Clone(m.queue) {
-		if j.ended || slices.Contains(full, j.Queue.Service) {
+		if j.ended || blocked.coverJob(j) {
 			continue
 		}
 		if j.suspended {
@@ -37,9 +38,7 @@
 			continue
 		}
 		m.offerMoreUrgent(now, j.Queue.Service, j, out)
-		if !m.placeJob(now, j, out) {
-			full = append(full, j.Queue.Service)
-		}
+		m.placeJob(now, j, blocked, out)
 	}
 	m.offerRemaining(now, out)
 }
@@ -58,29 +57,31 @@
 	}
 }
 
-// placeJob places the waiting tasks of a job and reports whether all were
-// placed.
-func (m *Machine) placeJob(now time.Time, j *homeJob, out *Output) bool {
+// placeJob places the waiting tasks of a job that may fit somewhere. It adds the
+// sizes that found no slot to the blocked ones.
+func (m *Machine) placeJob(now time.Time, j *homeJob, blocked blockedSizes, out *Output) {
 	var rest []*homeTask
-	all := true
-	for i, t := range j.waiting {
+	for _, t := range j.waiting {
 		if t.state != waiting {
 			continue
 		}
-		if !m.placeTask(now, t, out) {
+		step := &j.Steps[t.step]
+		if blocked.cover(j.Queue.Service, step.Needs) {
 			rest = append(rest, t)
-			all = false
-			if j.Steps[t.step].Spread == 0 {
-				rest = append(rest, j.waiting[i+1:]...)
-				break
-			}
+			continue
+		}
+		if m.placeTask(now, t, out) {
+			continue
+		}
+		rest = append(rest, t)
+		if step.Spread == 0 && step.Requires == "" { // else it may be too large for some endpoints only
+			blocked.add(j.Queue.Service, step.Needs)
 		}
 	}
 	j.waiting = rest
 	if len(rest) == 0 {
 		m.dequeue(j)
 	}
-	return all
 }
 
 // placeTask places a task here or at a peer and reports whether it did.
--- a/pool/task_size.go
+++ b/pool/task_size.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -24,6 +25,10 @@
 		// tasks is how many tasks have been counted, up to 1/minSizeWeight.
 		tasks float64
 	}
+
+	// blockedSizes has the needs of tasks that have just found no slot, by
+	// service. Tasks that need no less find none either.
+	blockedSizes map[string][]task.Needs
 )
 
 // add counts a number of tasks of the same size.
@@ -103,3 +108,39 @@
 	}
 	s.add(n, tasks)
 }
+
+func (b blockedSizes) add(service string, n task.Needs) { b[service] = append(b[service], n) }
+
+// cover reports whether a task with these needs can't find a slot.
+func (b blockedSizes) cover(service string, n task.Needs) bool {
+	return slices.ContainsFunc(b[service], func(blocked task.Needs) bool { return fitsWithin(blocked, n) })
+}
+
+// coverJob reports whether none of the job's waiting tasks can find a slot.
+func (b blockedSizes) coverJob(j *homeJob) bool {
+	if len(b[j.Queue.Service]) == 0 {
+		return false
+	}
+	for _, t := range j.waiting {
+		if !b.cover(j.Queue.Service, j.Steps[t.step].Needs) {
+			return false
+		}
+	}
+	return true
+}
+
+func smaller(a, b task.Needs) task.Needs {
+	return task.Needs{
+		Cores:        min(a.Cores, b.Cores),
+		MemoryBytes:  min(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+func larger(a, b task.Needs) task.Needs {
+	return task.Needs{
+		Cores:        max(a.Cores, b.Cores),
+		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
--- a/pool/task_size_test.go
+++ b/pool/task_size_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovagecrank/lovagecrank/route"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -148,6 +149,29 @@
 	is.Equal(running, len(cores))
 }
 
+// TestLargeTaskBlocksNoSmallerOne checks that a task that fits nowhere leaves the
+// room that is too small for it to smaller tasks, here and at a peer. Before, all
+// slots of the instance stayed idle, and offers had to fit the largest waiting
+// task.
+func TestLargeTaskBlocksNoSmallerOne(t *testing.T) {
+	for _, instances := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(t, 1, instances, 2)
+			sim.fillEndpoints(is, 0, 9, 9)
+			large, small := step(1, 100*time.Millisecond), step(2, 100*time.Millisecond)
+			large.Needs, small.Needs = needs(12), needs(6)
+			patient := &route.Queue{Name: "patient", Service: "s", Target: time.Second}
+			first := sim.submit(0, patient, 5*time.Second, large)
+			second := sim.submit(0, patient, 2*time.Second, small)
+			sim.advance(150 * time.Millisecond)
+			is.Equal(len(second.answers), 1)
+			is.True(second.answers[0] == nil)
+			is.Equal(len(first.answers), 0)
+		})
+	}
+}
+
 // TestTightFit checks that a task goes where it leaves the most room for others.
 func TestTightFit(t *testing.T) {
 	is := is.New(t)
