--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/task"
 )
 
 const (
@@ -74,7 +73,7 @@
 	}
 	v := m.ownFreeSlots(now)
 	m.divideBacklog(now, v)
-	if due := m.shares.nextTimeout(); !due.IsZero() {
+	if due := m.shares.nextTimeout(now); !due.IsZero() {
 		out.wakeAt(due)
 	}
 	recipients := m.recipients()
@@ -217,19 +216,15 @@
 	w := &c.Backlog[last]
 	for _, t := range j.waiting {
 		step := j.Steps[t.step]
+		if w.Tasks == 0 {
+			w.Smallest = step.Needs
+		}
 		w.Tasks++
 		if step.Requires == "" && step.Spread == 0 {
 			w.Share++ // others can't be started on an offered slot
 		}
 		w.Work += step.Estimate
 		w.Needs = larger(w.Needs, step.Needs)
-	}
-}
-
-func larger(a, b task.Needs) task.Needs {
-	return task.Needs{
-		Cores:        max(a.Cores, b.Cores),
-		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: max(a.Accelerators, b.Accelerators),
+		w.Smallest = smaller(w.Smallest, step.Needs)
 	}
 }
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -66,7 +66,11 @@
 			}
 		}
 		estimate := time.Duration((0.6 + 0.8*sim.loadRNG.Float64()) * float64(k.run))
-		c := sim.newJob(k.queue, 2500*time.Millisecond, step(k.tasks, estimate))
+		tasks := step(k.tasks, estimate)
+		if sim.taskCores != nil {
+			tasks.Needs = needs(sim.taskCores())
+		}
+		c := sim.newJob(k.queue, 2500*time.Millisecond, tasks)
 		c.tally = tallies[k.queue.Name]
 		c.tally.submitted++
 		c.runTime = k.run
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -10,7 +10,6 @@
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
-	"github.com/lovagecrank/lovagecrank/task"
 )
 
 const (
@@ -147,8 +146,8 @@
 		// offerCounts counts the offers, for metrics.
 		offerCounts OfferCounts
 		arrivals    arrivals
-		// typicalNeeds is what a task typically needs, by service.
-		typicalNeeds map[string]task.Needs
+		// taskSizes describes the sizes of tasks, by service.
+		taskSizes map[string]*taskSizes
 
 		status    statusState
 		freeSlots freeSlotsState
@@ -177,7 +176,7 @@
 		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
 		shares:        newShares(cfg.Self.ID),
-		typicalNeeds:  map[string]task.Needs{},
+		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 	}
 }
--- a/pool/offer_counts.go
+++ b/pool/offer_counts.go
@@ -43,7 +43,7 @@
 func (m *Machine) countSlotTime(since time.Duration) {
 	for _, e := range m.held {
 		if e.active && !e.info.Draining {
-			m.offerCounts.SlotTime += time.Duration(fittingTasks(m.typicalNeeds[e.info.Service], e.info.Size, e.info.Slots)) * since
+			m.offerCounts.SlotTime += time.Duration(m.sizesOf(e.info.Service).fits(e.info.Size, e.info.Slots) * float64(since))
 		}
 	}
 }
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -42,7 +42,7 @@
 		capacitiesAt time.Time
 		// listedSlots is how many slots the listed endpoints that the peer holds
 		// have, by service, as counted at listedSlotsAt.
-		listedSlots   map[string]int
+		listedSlots   map[string]float64
 		listedSlotsAt time.Time
 		// lostAt is when the peer's stream ended; zero while it is open.
 		lostAt time.Time
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -285,12 +285,13 @@
 	}
 }
 
-// nextTimeout returns when the first share expires; zero if there is none.
-func (s *shares) nextTimeout() time.Time {
+// nextTimeout returns when the next share expires; zero if there is none. Shares
+// that have expired already stay while there is nobody else to get them.
+func (s *shares) nextTimeout(now time.Time) time.Time {
 	var next time.Time
 	for k, shares := range s.open {
 		for ref, o := range shares {
-			if due := o.since.Add(s.timeout(k.service, ref)); o.tasks > 0 && (next.IsZero() || due.Before(next)) {
+			if due := o.since.Add(s.timeout(k.service, ref)); o.tasks > 0 && due.After(now) && (next.IsZero() || due.Before(next)) {
 				next = due
 			}
 		}
--- a/pool/sharing.go
+++ b/pool/sharing.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -62,14 +63,14 @@
 		return c.Slots
 	}
 	if p.listedSlots == nil || now.Sub(p.listedSlotsAt) > listedSlotsAge {
-		p.listedSlots, p.listedSlotsAt = map[string]int{}, now
+		p.listedSlots, p.listedSlotsAt = map[string]float64{}, now
 		for _, id := range p.status.Endpoints {
 			if e := m.endpoints[id]; e != nil && !e.info.Draining {
-				p.listedSlots[e.info.Service] += fittingTasks(m.typicalNeeds[e.info.Service], e.info.Size, e.info.Slots)
+				p.listedSlots[e.info.Service] += m.sizesOf(e.info.Service).fits(e.info.Size, e.info.Slots)
 			}
 		}
 	}
-	return p.listedSlots[service]
+	return int(math.Round(p.listedSlots[service]))
 }
 
 // withChangedShare returns the recipients that do not know their share.
