--- a/pool/machine.go
+++ b/pool/machine.go
@@ -309,7 +309,7 @@
 	m.forgetReached()
 	m.expireJobs(now, out)
 	m.deferJobs(now, out)
-	m.expireOffers(now)
+	m.expireOffers(now, out)
 	m.expireOrphans(now)
 	m.expireReportedEnds(now)
 	m.runNumbers.expire(now)
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -119,6 +119,7 @@
 	m.offerCounts.Sent++
 	e.used = addScaled(e.used, needs, 1)
 	e.reserved++
+	out.wakeAt(now.Add(offerTTL))
 	m.send(p.info.Ref, message.Offer{
 		Number: m.lastOffer, Service: key.service, Needs: needs,
 	}, out)
@@ -143,11 +144,16 @@
 // offerNumbers returns the numbers of the open offers in ascending order.
 func (m *Machine) offerNumbers() []uint64 { return slices.Sorted(maps.Keys(m.offers)) }
 
-func (m *Machine) expireOffers(now time.Time) {
+// expireOffers removes the offers that were not answered in time, and requests a
+// tick for the others.
+func (m *Machine) expireOffers(now time.Time, out *Output) {
 	for _, number := range m.offerNumbers() {
-		if o := m.offers[number]; !now.Before(o.until) {
-			m.removeOffer(now, number, offerExpired)
+		o := m.offers[number]
+		if now.Before(o.until) {
+			out.wakeAt(o.until)
+			continue
 		}
+		m.removeOffer(now, number, offerExpired)
 	}
 }
 
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -71,6 +71,9 @@
 		calls     map[uint64]*attempt
 		lastCall  uint64
 		lastJob   int
+		// onMessage may change a message on its way and returns how long it is
+		// delayed; nil for none.
+		onMessage func(msg *message.Message) time.Duration
 		// messages counts the messages between instances.
 		messages int
 		// reference has the jobs of the generated load.
@@ -374,7 +377,11 @@
 	}
 	sim.messages++
 	msg.Body = received(msg.Body)
-	sim.after(testOneWayDelay, func() {
+	delay := testOneWayDelay
+	if sim.onMessage != nil {
+		delay += sim.onMessage(&msg)
+	}
+	sim.after(delay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
 		}
