--- a/pool/sharing_failures_test.go
+++ b/pool/sharing_failures_test.go
@@ -18,8 +18,8 @@
 }
 
 // startSharedTasks starts an installation of four instances and 32 slots. The slots
-// become free one after another, about one each 10 ms, from a few milliseconds
-// after the urgent job on.
+// become free one after another, two each 20 ms, from 9 ms after the shares
+// are known.
 func startSharedTasks(t testing.TB, change func(sim *simulation)) *sharedTasks {
 	sim := newFleet(t, 1, 1, 4, 16)
 	sim.advance(2 * time.Second)
@@ -31,7 +31,7 @@
 		change(sim)
 	}
 	s := &sharedTasks{simulation: sim, goal: sim.now.Add(urgent.Goal(60 * time.Millisecond))}
-	s.job = sim.submit(0, urgent, 2*time.Second, step(4, 60*time.Millisecond))
+	s.job = sim.submit(0, urgent, 2*time.Second, step(6, 60*time.Millisecond))
 	sim.advance(9 * time.Millisecond) // the shares are known
 	return s
 }
@@ -123,6 +123,9 @@
 			s := startSharedTasks(t, nil)
 			tt.fail(s, s.holder())
 			s.checkInGoal()
+			if s.offerCounts().Taken == 0 {
+				t.Error("no offer was of use")
+			}
 			s.advance(3 * time.Second)
 			s.checkNoOffers()
 		})
