pool: a changed backlog is sent to all soon only if admission must follow

A backlog that changed by a task was sent to all recipients within 40 ms, though nobody offers for more than its share. It is now when it changed by a fifth of the slots, the error that admission allows for, and otherwise within 200 ms.

--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -25,7 +25,9 @@
 	backlogCPUShare = 0.05
 	otherCPUShare   = 0.01
 	// minShiftShare is the relative change in the number of free slots above
-	// which peers should place tasks differently.
+	// which peers should place tasks differently, and that of the waiting tasks
+	// relative to the slots above which they should admit jobs differently. It is
+	// the error that admission allows for; see loadErrorMargin.
 	minShiftShare = 0.2
 )
 
@@ -132,9 +134,9 @@
 			old = *sent
 		}
 		switch {
-		case (c.Free == 0) != (old.Free == 0), freeSlotsShifted(c.Free, old.Free), c.Slots != old.Slots, backlogChanged(c.Backlog, old.Backlog), backlogChanged(old.Backlog, c.Backlog):
+		case (c.Free == 0) != (old.Free == 0), freeSlotsShifted(c.Free, old.Free), c.Slots != old.Slots, backlogShifted(c.Backlog, old.Backlog, c.Slots), backlogShifted(old.Backlog, c.Backlog, c.Slots):
 			delay = m.sendInterval(len(m.recipients()), shiftSendInterval, otherCPUShare)
-		case delay < 0 && (c.Free != old.Free || c.Largest != old.Largest):
+		case delay < 0 && (c.Free != old.Free || c.Largest != old.Largest || backlogShifted(c.Backlog, old.Backlog, 0) || backlogShifted(old.Backlog, c.Backlog, 0)):
 			delay = m.sendInterval(len(m.recipients()), minorSendInterval, otherCPUShare)
 		}
 	}
@@ -154,10 +156,11 @@
 	return float64(max(current, sent)-min(current, sent)) > minShiftShare*float64(max(current, sent))
 }
 
-// backlogChanged reports whether more tasks of some urgency wait in a than in b.
-func backlogChanged(a, b []message.WaitingTasks) bool {
+// backlogShifted reports whether so many more tasks of some urgency wait in a than
+// in b, beside the instance's slots, that peers should admit jobs differently.
+func backlogShifted(a, b []message.WaitingTasks, slots int) bool {
 	for _, w := range a {
-		if w.Tasks > tasksOf(b, w) {
+		if float64(w.Tasks-tasksOf(b, w)) > minShiftShare*float64(slots) {
 			return true
 		}
 	}
