pool: an endpoint that left a start unanswered is not the first choice for the next run

Change: such an endpoint comes after others that are not much slower, until it answers a start. After: the test passes.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -17,6 +17,9 @@
 	// fitWeight makes the room that a task leaves for others decide between
 	// endpoints of similar slowdown.
 	fitWeight = 0.25
+	// unansweredPenalty makes an endpoint that left the last start unanswered come
+	// after others that are not much slower.
+	unansweredPenalty = 0.5
 	// otherRackFactor is how many times longer a task takes outside the rack
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
@@ -184,6 +187,9 @@
 			continue
 		}
 		score := e.score(s) + fitWeight*sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
+		if e.health.unanswered > 0 {
+			score += unansweredPenalty // the task may be the one that was not answered
+		}
 		if score < bestScore {
 			best, bestScore = e, score
 		}
