pool: endpoints of evacuated data centres get no work

Ruled out: taking the endpoints from their holders or from the list, which would end runs under way. A machine keeps the set with the highest version of the store, from reads and from peers' Status, and ready() is false for its endpoints; offers there are withdrawn, peers that hold only such endpoints count without slots, jobs that only they could run are refused as LC1018 with a time to come back.

--- a/event/table.go
+++ b/event/table.go
@@ -47,6 +47,9 @@
 	EndpointsClaimed
 	EndpointsReleased
 	EndpointAnswers
+	EvacuationInForce
+	EvacuationLifted
+	EvacuationsUnknown
 	numKinds
 )
 
@@ -97,6 +100,9 @@
 	EndpointsClaimed:     row("LC2074", catalogue.Info, "Endpoints claimed", "The instance claims endpoints, from which it then orders runs. The log gives the reason. A line may stand for several claims of half a second.", "No action is needed."),
 	EndpointsReleased:    row("LC2075", catalogue.Info, "Endpoints released", "The instance gives up endpoints. The log gives the reason. A line may stand for several releases of half a second.", "No action is needed."),
 	EndpointAnswers:      row("LC2076", catalogue.Info, "Endpoint answers again", "An endpoint that did not answer answers again, and no run of an earlier holder is left there; or an endpoint answers for the first time after it restarted.", "No action is needed."),
+	EvacuationInForce:    row("LC2077", catalogue.Info, "Evacuation in force", "An operator asked that no work goes to the endpoints of the data centre. Runs that are under way there go on.", "No action is needed. Jobs that only these endpoints could run are refused until the request is taken back."),
+	EvacuationLifted:     row("LC2078", catalogue.Info, "Evacuation lifted", "The request was taken back, and the endpoints of the data centre get work again.", "No action is needed."),
+	EvacuationsUnknown:   row("LC2079", catalogue.Warning, "Evacuations unknown", "The instance has started and could not learn which data centres are evacuated. It uses all endpoints until it does.", "Check the links to the platform and to the other instances. An operator who has evacuated a data centre should stop this instance."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -88,6 +88,9 @@
 	if m.recentlyResumed(now) {
 		return suspendedRefusal(), l
 	}
+	if f := m.evacuatedFault(j); f != nil {
+		return f, l
+	}
 	return m.refusalForLoad(now, j, l), l
 }
 
@@ -119,17 +122,24 @@
 			continue
 		}
 		known = true
-		fits := true
-		for _, s := range j.Steps {
-			fits = fits && fitsWithin(s.Needs, e.info.Size)
-		}
-		if fits {
+		if e.canHold(j.Steps) {
 			return true
 		}
 	}
 	return !known
 }
 
+// canHold reports whether the endpoint could run each of the steps if it were
+// empty.
+func (e *endpointState) canHold(steps []Step) bool {
+	for _, s := range steps {
+		if !fitsWithin(s.Needs, e.info.Size) {
+			return false
+		}
+	}
+	return true
+}
+
 // load is the work that competes with a job.
 type load struct {
 	// slots and free count the slots here and at the peers that report them to
@@ -186,8 +196,10 @@
 		if c == nil {
 			continue
 		}
-		l.slots += c.Slots
-		l.free += c.Free
+		if !p.closed {
+			l.slots += c.Slots
+			l.free += c.Free
+		}
 		if now.Sub(p.capacitiesAt) > maxReportAge {
 			continue
 		}
@@ -222,7 +234,7 @@
 func (m *Machine) listedSlots(service string) int {
 	total := 0
 	for _, e := range m.sortedEndpoints {
-		if e.info.Service == service && !e.info.Draining {
+		if e.info.Service == service && !e.info.Draining && !m.evacuations.contains(e.info.DataCentre) {
 			total += fittingTasks(m.typicalNeeds[service], e.info.Size, e.info.Slots)
 		}
 	}
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -65,6 +65,9 @@
 	endpointState struct {
 		info             endpoint.Info
 		reportedDraining bool
+		// closed reports that the endpoint gets no work because its data centre is
+		// evacuated or may be.
+		closed bool
 
 		// token is the own fencing token; zero while this instance is not the
 		// holder.
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -100,6 +100,7 @@
 			}
 		})
 	}},
+	{"a data centre is evacuated", func(sim *simulation) { sim.evacuateRandom(2*time.Second + randomTime(sim.rng, 3*time.Second)) }},
 	{"callers disconnect", func(sim *simulation) {
 		for _, call := range sim.openCalls() {
 			t := sim.calls[call]
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -53,6 +53,10 @@
 		LeaseTime time.Duration
 		// StopTime is how long an endpoint takes to stop a run.
 		StopTime time.Duration
+		// AwaitEvacuations reports that the endpoints get no work before a read
+		// of the store or a peer has shown which data centres are evacuated; see
+		// SetEvacuations.
+		AwaitEvacuations bool
 	}
 
 	// Machine is the scheduling state machine of one instance in both of its
@@ -72,7 +76,8 @@
 		resumedAt time.Time
 		// tickLate reports that the last tick was late, so missing answers may
 		// be this process's fault.
-		tickLate bool
+		tickLate    bool
+		evacuations evacuations
 		// configVersion is the version of the configuration in force.
 		configVersion uint64
 		// draining reports that the planned stop has begun, and stopsAt is when
@@ -152,7 +157,7 @@
 
 // New returns the machine of an instance that starts now.
 func New(now time.Time, cfg Config) *Machine {
-	return &Machine{
+	m := &Machine{
 		cfg:           cfg,
 		startedAt:     now,
 		lastTick:      now,
@@ -174,6 +179,10 @@
 		typicalNeeds:  map[string]task.Needs{},
 		answerTimes:   newAnswerTimes(),
 	}
+	if cfg.AwaitEvacuations {
+		m.evacuations.awaitedUntil = now.Add(evacuationWait)
+	}
+	return m
 }
 
 // SetEndpoints sets the platform's list of endpoints.
@@ -195,6 +204,7 @@
 	}
 	m.forgetUnlisted(listed)
 	m.sortEndpoints()
+	m.closeEvacuated()
 	m.reassignNeeded = true
 	m.advance(now, out)
 }
@@ -298,6 +308,7 @@
 	m.tickLate = m.resumed || now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
 	m.resumed = false
 	m.lastTick, m.uncounted = now, 0
+	m.expireEvacuationWait(now, out)
 	m.expireLostPeers(now, out)
 	m.replaceContacts(now, out)
 	m.forgetReached()
--- a/pool/observer_test.go
+++ b/pool/observer_test.go
@@ -22,8 +22,10 @@
 	done map[string]bool
 	// startsByJob counts the starts of each job.
 	startsByJob map[string]int
-	starts      int
-	ends        map[run.Status]int
+	// startsByDataCentre counts the starts in each data centre.
+	startsByDataCentre map[string]int
+	starts             int
+	ends               map[run.Status]int
 	// interrupted counts the runs that were stopped or expired, by endpoint ID.
 	interrupted map[string]int
 }
@@ -35,8 +37,10 @@
 		running:     map[string]map[string]run.Ref{},
 		done:        map[string]bool{},
 		startsByJob: map[string]int{},
-		ends:        map[run.Status]int{},
-		interrupted: map[string]int{},
+
+		startsByDataCentre: map[string]int{},
+		ends:               map[run.Status]int{},
+		interrupted:        map[string]int{},
 	}
 }
 
@@ -59,6 +63,7 @@
 	name := s.Run.Task
 	o.starts++
 	o.startsByJob[jobIDOf(name)]++
+	o.startsByDataCentre[e.info.DataCentre]++
 	for id, ref := range o.running[name] {
 		if other := o.endpoint(id); other.up && other.runs[ref] != nil {
 			o.sim.t.Errorf("%s: task %s starts as run %d on %s while run %d is on %s", o.sim.now.Format("05.000"), name, s.Run.Number, e.info.ID, ref.Number, id)
@@ -74,6 +79,9 @@
 	if e.info.Draining {
 		o.sim.t.Errorf("task %s starts on %s, which is draining", name, e.info.ID)
 	}
+	if d := o.sim.evacuatedFor(e.info.DataCentre); d > evacuationBound {
+		o.sim.t.Errorf("task %s starts on %s, %s after the request to evacuate %s", name, e.info.ID, d, e.info.DataCentre)
+	}
 }
 
 func (o *observer) endpoint(id string) *fakeEndpoint { return o.sim.byID[id] }
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -36,7 +36,7 @@
 	var at *peer
 	for _, p := range m.sortedPeers {
 		c := p.capacity(service)
-		if c == nil || c.Free <= 0 || p.status.Draining || !fitsWithin(needs, c.Largest) {
+		if c == nil || c.Free <= 0 || p.closed || p.status.Draining || !fitsWithin(needs, c.Largest) {
 			continue
 		}
 		local := p.info.DataCentre == m.cfg.Self.DataCentre
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -37,6 +37,9 @@
 		status         message.Status
 		statusReceived bool
 		holds          map[string]bool
+		// closed reports that the peer holds only endpoints in evacuated data
+		// centres, so that it gets no tasks.
+		closed bool
 		// capacities is the last capacity report received, at capacitiesAt.
 		capacities   []message.Capacity
 		capacitiesAt time.Time
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -204,7 +204,7 @@
 
 // ready reports whether the endpoint may get work at all.
 func (e *endpointState) ready(now time.Time) bool {
-	if !e.active || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
+	if !e.active || e.closed || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
 	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -20,6 +20,7 @@
 	switch b := msg.Body.(type) {
 	case message.Status:
 		m.handleStatus(p, b)
+		m.handlePeerEvacuations(now, p, b.Evacuations, out)
 	case message.FreeSlots:
 		p.handleFreeSlots(now, b)
 	case message.StartRun:
@@ -81,7 +82,7 @@
 // declines the offer.
 func (m *Machine) handleOffer(now time.Time, p *peer, o message.Offer, out *Output) {
 	for _, j := range m.queue {
-		if j.Queue.Service != o.Service {
+		if j.Queue.Service != o.Service || p.closed {
 			continue
 		}
 		for i, t := range j.waiting {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -58,7 +58,8 @@
 		// answered.
 		lateShare float64
 		// troubles are the troubles that orders have now.
-		troubles []*trouble
+		troubles    []*trouble
+		evacuations evacuationRequests
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
@@ -134,6 +135,7 @@
 		partitions:  map[[2]int]int{},
 		unreachable: map[[2]int]bool{},
 		calls:       map[uint64]*attempt{},
+		evacuations: evacuationRequests{stored: message.Evacuations{Version: 1}, since: map[string]time.Time{}, blind: map[int]bool{}},
 	}
 	sim.observer = newObserver(sim)
 	for i := range instances {
@@ -186,12 +188,13 @@
 	n.self.Incarnation = sim.incarnation(n)
 	sim.byRef[n.self.Ref] = n
 	n.connected, n.neighbours = map[int]bool{}, map[string]bool{}
-	n.machine = New(sim.now, Config{Self: n.self, LeaseTime: testLeaseTime, StopTime: testStopTime})
+	n.machine = New(sim.now, Config{Self: n.self, LeaseTime: testLeaseTime, StopTime: testStopTime, AwaitEvacuations: true})
 	n.wake = time.Time{}
 	sim.input(n, func(m *Machine, out *Output) {
 		m.SetInstances(sim.now, sim.others(n), out)
 		m.SetEndpoints(sim.now, sim.listedEndpoints(), out)
 	})
+	sim.readEvacuations(n)
 	for _, o := range sim.instances {
 		if o != n && o.alive {
 			sim.after(testReconnectDelay, func() { sim.connect(n, o) })
@@ -357,6 +360,7 @@
 		return
 	}
 	sim.messages++
+	msg = sim.withoutEvacuations(msg, n, o)
 	sim.after(testOneWayDelay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
--- a/pool/status.go
+++ b/pool/status.go
@@ -34,16 +34,17 @@
 		out.wakeAt(due)
 		return
 	}
-	s := message.Status{Draining: m.draining, Version: m.configVersion, DataCentres: m.membership.connected}
+	s := message.Status{Draining: m.draining, Version: m.configVersion, DataCentres: m.membership.connected, Evacuations: m.evacuations.inForce}
 	for _, e := range m.held {
 		s.Endpoints = append(s.Endpoints, e.info.ID)
 	}
 	m.sendStatusToNewPeers(s, out)
 	m.status.changed = false
-	if last := m.status.lastSent; s.Draining == last.Draining && s.Version == last.Version && slices.Equal(s.Endpoints, last.Endpoints) && slices.Equal(s.DataCentres, last.DataCentres) {
+	if last := m.status.lastSent; !m.evacuations.unsent && s.Draining == last.Draining && s.Version == last.Version && slices.Equal(s.Endpoints, last.Endpoints) && slices.Equal(s.DataCentres, last.DataCentres) {
 		return
 	}
 	m.status.lastSent, m.status.sentAt = s, now
+	m.evacuations.unsent = false
 	for _, p := range m.sortedPeers {
 		m.send(p.info.Ref, s, out)
 	}
@@ -78,6 +79,7 @@
 	for _, id := range s.Endpoints {
 		p.holds[id] = true
 	}
+	m.updatePeerClosed(p)
 }
 
 // holdEndpoint adds an endpoint to the held ones.
