platform, runner: read the operator's requests to evacuate data centres

The rows op/evacuate/ZONE come with the feed that is followed for the configuration, so they cost no further call. Gauge lovagecrank_evacuated_data_centres, operators' pages, glossary.

--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -54,7 +54,7 @@
 // scrapeRunner returns the served metrics of a RunnerSet.
 func scrapeRunner(t *testing.T) string {
 	j := NewRunnerSet(func() RunnerSnapshot {
-		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4}}
+		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4}, Evacuated: []string{"b"}}
 	})
 	j.Answer("q", nil, time.Millisecond)
 	for _, k := range fault.Kinds() {
@@ -76,6 +76,7 @@
 		`lovagecrank_answer_seconds_count{outcome="complete",queue="q",reason=""} 1`,
 		`lovagecrank_open_jobs 2`,
 		`lovagecrank_held_runs 3`,
+		`lovagecrank_evacuated_data_centres{data_centre="b"} 1`,
 		`lovagecrank_endpoints{state="open"} 4`,
 		`lovagecrank_orders_total{order="start",verdict="accepted"} 1`,
 	} {
--- a/metric/table.go
+++ b/metric/table.go
@@ -35,6 +35,7 @@
 	orders
 	openJobs
 	heldRuns
+	evacuatedDataCentres
 	numMetrics
 )
 
@@ -102,4 +103,5 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 }
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -20,6 +20,9 @@
 	// Held and Active count the held endpoints and those without runs of an
 	// earlier holder. Running counts the runs on them.
 	Held, Active, Running int
+	// Evacuated are the data centres whose endpoints get no work at an operator's
+	// request.
+	Evacuated []string
 	// Connected are the connected peers. LocalPeers are the first of them, those
 	// in the local data centre. ReaderRank is how many of the latter that are not
 	// draining precede this instance in the order in which instances read the
@@ -30,7 +33,7 @@
 
 // View returns a snapshot of the machine.
 func (m *Machine) View(now time.Time) View {
-	v := View{Jobs: len(m.jobs), Connected: make([]instance.Ref, 0, len(m.sortedPeers)), Waiting: map[string]int{}}
+	v := View{Jobs: len(m.jobs), Connected: make([]instance.Ref, 0, len(m.sortedPeers)), Waiting: map[string]int{}, Evacuated: m.evacuations.inForce.DataCentres}
 	for _, j := range m.jobs {
 		if !j.mayHaveStarted() {
 			v.Waiting[j.Queue.Name]++
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -45,10 +45,10 @@
 	storeBackoff = 300 * time.Millisecond
 )
 
-// followConfiguration reads new versions of the configuration from the store and
-// applies them until the context ends.
+// followConfiguration reads new versions of the configuration, and the requests to
+// evacuate data centres, from the store and applies them until the context ends.
 func (r *Runner) followConfiguration() {
-	cursor := uint64(0)
+	cursor, evacuated := uint64(0), evacuationList{}
 	for r.ctx.Err() == nil {
 		change, err := r.Store.Configuration(r.ctx, cursor, configurationWait)
 		r.recordRead(&r.configurationReads, "configuration", "version "+formatVersion(r.routes.Load().Version())+" stays in force", err)
@@ -57,6 +57,7 @@
 			continue
 		}
 		cursor = change.Cursor
+		r.applyEvacuations(evacuated, change)
 		if change.Encoded != nil {
 			r.applyConfiguration("the store", change.Encoded)
 		} else if r.routes.Load() == nil {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -17,6 +17,7 @@
 		ConfigurationVersion: r.routes.Load().Version(),
 		StoreReachable:       !r.listReads.lost(),
 		PeersLive:            len(v.Connected),
+		Evacuated:            v.Evacuated,
 		Jobs:                 v.Jobs,
 		Runs:                 v.Running,
 		EndpointStates:       map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -50,8 +50,8 @@
 
 	// Store is the platform's store.
 	Store interface {
-		// Configuration returns the configuration if it has changed since after,
-		// which is the Cursor of an earlier result, or zero to read it in any
+		// Configuration returns the configuration, and the operators' requests to
+		// evacuate data centres, as far as they have changed since after, which is the Cursor of an earlier result, or zero to read it in any
 		// case. It waits for a change for at most wait.
 		Configuration(ctx context.Context, after uint64, wait time.Duration) (ConfigurationChange, error)
 		// Endpoints returns the entries of endpoints that have changed since
@@ -76,6 +76,9 @@
 		// Encoded is the newest configuration as the operator wrote it, or nil
 		// if it has not changed.
 		Encoded []byte
+		// Evacuations are the changes of the operators' requests to evacuate data
+		// centres, which are read with the configuration.
+		Evacuations EvacuationChange
 	}
 
 	// EndpointsChange has changes of the list of endpoints.
@@ -186,7 +189,7 @@
 		ctx:         context.Background(),
 		rescheduled: make(chan struct{}, 1),
 		listChanges: make(chan endpoint.Change, maxQueuedListChanges),
-		machine:     pool.New(now, pool.Config{Self: cfg.Self, FirstStart: cfg.FirstStart, LeaseTime: cfg.LeaseTime, StopTime: cfg.StopTime}),
+		machine:     pool.New(now, pool.Config{Self: cfg.Self, FirstStart: cfg.FirstStart, LeaseTime: cfg.LeaseTime, StopTime: cfg.StopTime, AwaitEvacuations: true}),
 		calls:       map[uint64]chan *fault.Error{},
 		suspensions: newSuspensionClock(now),
 
