pool: tests of the room that admission counts beside an evacuation

Taking out the parts of admission one at a time left two without a failing test: slots of peers of a former release, and the listed slots of an instance that starts.

--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -70,8 +70,7 @@
 			check := func(want int) {
 				t.Helper()
 				for _, n := range sim.instances {
-					j := n.machine.newJob(sim.now, 0, Job{ID: "x", Queue: urgent, Steps: []Step{step(1, time.Second)}})
-					is.Equal(n.machine.load(sim.now, j).slots, want)
+					is.Equal(sim.slotsSeenBy(n), want)
 				}
 			}
 			sim.submit(0, urgent, 2*time.Second, step(1, 20*time.Millisecond))
@@ -97,6 +96,24 @@
 	}
 }
 
+// slotsSeenBy returns how many slots the admission of an instance counts.
+func (sim *simulation) slotsSeenBy(n *fakeInstance) int {
+	j := n.machine.newJob(sim.now, 0, Job{ID: "x", Queue: urgent, Steps: []Step{step(1, time.Second)}})
+	return n.machine.load(sim.now, j).slots
+}
+
+// TestRoomAtStart checks that an instance that has just started, and counts on the
+// listed endpoints, does not count those of an evacuated data centre.
+func TestRoomAtStart(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(t, 1, 4, 12)
+	sim.setEvacuated("dc1", true)
+	sim.advance(maxReadDelay)
+	sim.kill(0, false)
+	sim.startInstance(0)
+	is.Equal(sim.slotsSeenBy(sim.instances[0]), 6*8) // the size of tasks is not known yet
+}
+
 // TestEvacuationKnownToHalf evacuates a data centre while the store answers only
 // half of the instances: those of one data centre, or one in each.
 func TestEvacuationKnownToHalf(t *testing.T) {
@@ -331,6 +348,7 @@
 	is.Equal(len(c.answers), 1)
 	is.True(c.answers[0] == nil)
 	is.Equal(sim.startsIn("dc0"), 0)
+	is.Equal(sim.slotsSeenBy(sim.instances[1]), 12) // those of dc1
 	is.Equal(len(sim.instances[0].machine.evacuations.inForce.DataCentres), 0)
 }
 
