--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -348,6 +348,8 @@
 	is.Equal(len(c.answers), 1)
 	is.True(c.answers[0] == nil)
 	is.Equal(sim.startsIn("dc0"), 0)
+	sim.submit(3, urgent, 2*time.Second, step(1, 20*time.Millisecond)) // shows it the size of tasks
+	sim.advance(time.Second)
 	is.Equal(sim.slotsSeenBy(sim.instances[1]), 12) // those of dc1
 	is.Equal(len(sim.instances[0].machine.evacuations.inForce.DataCentres), 0)
 }
