--- a/route/route.go
+++ b/route/route.go
@@ -48,26 +48,45 @@
 	Table struct {
 		version uint64
 		limits  Limits
-		// hosts holds the queues of each lower-case host, longest prefix
-		// first.
-		hosts map[string][]*Queue
+		// hosts holds the queues of each lower-case host.
+		hosts map[string]*hostQueues
+	}
+
+	// hostQueues are the queues of one host.
+	hostQueues struct {
+		byPrefix map[string]*Queue
+		// lengths are the lengths of the prefixes, the longest first. There are
+		// few, however many queues a configuration has.
+		lengths []int
 	}
 )
 
 // NewTable returns the table for the document.
 func NewTable(d Document) *Table {
-	t := &Table{version: d.Version, limits: d.Limits, hosts: map[string][]*Queue{}}
+	t := &Table{version: d.Version, limits: d.Limits, hosts: map[string]*hostQueues{}}
 	for i := range d.Queues {
 		q := &d.Queues[i]
 		host := strings.ToLower(q.Host)
-		t.hosts[host] = append(t.hosts[host], q)
-	}
-	for _, queues := range t.hosts {
-		slices.SortStableFunc(queues, func(a, b *Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		if t.hosts[host] == nil {
+			t.hosts[host] = &hostQueues{byPrefix: map[string]*Queue{}}
+		}
+		t.hosts[host].add(q)
 	}
 	return t
 }
 
+// add adds a queue unless there is an earlier one with its prefix.
+func (h *hostQueues) add(q *Queue) {
+	if h.byPrefix[q.Prefix] != nil {
+		return
+	}
+	h.byPrefix[q.Prefix] = q
+	i, found := slices.BinarySearchFunc(h.lengths, len(q.Prefix), func(a, b int) int { return cmp.Compare(b, a) })
+	if !found {
+		h.lengths = slices.Insert(h.lengths, i, len(q.Prefix))
+	}
+}
+
 // Version returns the version of the configuration; zero if t is nil.
 func (t *Table) Version() uint64 {
 	if t == nil {
@@ -86,9 +105,16 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, q := range t.hosts[strings.ToLower(host)] {
-		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
-			return q, rest, true
+	h := t.hosts[strings.ToLower(host)]
+	if h == nil {
+		return nil, "", false
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if q := h.byPrefix[path[:n]]; q != nil {
+			return q, path[n:], true
 		}
 	}
 	return nil, "", false
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -12,6 +12,8 @@
 		{Name: "short", Host: "a.example", Prefix: "/x/"},
 		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/"},
+		{Name: "second", Host: "a.example", Prefix: "/x/"},
+		{Name: "all", Host: "d.example"},
 	}})
 	tests := []struct{ name, host, path, queue, rest string }{
 		{"prefix", "a.example", "/x/1", "short", "1"},
@@ -19,6 +21,9 @@
 		{"host", "b.example", "/x/y/1", "other", "y/1"},
 		{"host with port and capitals", "A.example:80", "/x/", "short", ""},
 		{"no such prefix", "a.example", "/z/1", "", ""},
+		{"the first of two with a prefix", "a.example", "/x/2", "short", "2"},
+		{"shorter than the prefix", "a.example", "/x", "", ""},
+		{"no prefix", "d.example", "/z", "all", "/z"},
 		{"no such host", "c.example", "/x/1", "", ""},
 	}
 	for _, tt := range tests {
