--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -41,7 +41,10 @@
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
-		Offers         Offers
+		// Evacuated are the data centres that are evacuated.
+		Evacuated []string
+		Peers     Peers
+		Offers    Offers
 	}
 
 	// Offers counts the offers of slots that the instance has made to others.
@@ -127,4 +130,8 @@
 	dst.add(offersEnded, float64(s.Offers.Expired), "expired")
 	dst.add(offersReserved, s.Offers.Reserved.Seconds())
 	dst.add(slotTime, s.Offers.SlotTime.Seconds())
+	dst.addPeers(s.Peers)
+	for _, dc := range s.Evacuated {
+		dst.add(evacuatedDataCentres, 1, dc)
+	}
 }
--- a/metric/table.go
+++ b/metric/table.go
@@ -39,6 +39,7 @@
 	offersEnded
 	offersReserved
 	slotTime
+	evacuatedDataCentres
 	numMetrics
 )
 
@@ -110,4 +111,5 @@
 	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
 	offersReserved:       {"lovagecrank_offer_reserved_seconds_total", counter, "seconds", nil, "On the platform: time for which slots were reserved by offers.", "If it exceeds 1 % of lovagecrank_slot_seconds_total while tasks wait, check the links between the instances."},
 	slotTime:             {"lovagecrank_slot_seconds_total", counter, "seconds", nil, "On the platform: time for which the endpoints that this instance holds had slots, counted in tasks of typical size and added up over the slots.", noAction},
+	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 }
--- a/pool/sharing.go
+++ b/pool/sharing.go
@@ -45,7 +45,7 @@
 func (m *Machine) receivers(now time.Time, service string) []receiver {
 	var list []receiver
 	for _, p := range m.recipients() {
-		if p.status.Draining {
+		if p.status.Draining || p.closed {
 			continue
 		}
 		if n := m.slotsOf(now, p, service); n > 0 {
@@ -65,7 +65,7 @@
 	if p.listedSlots == nil || now.Sub(p.listedSlotsAt) > listedSlotsAge {
 		p.listedSlots, p.listedSlotsAt = map[string]float64{}, now
 		for _, id := range p.status.Endpoints {
-			if e := m.endpoints[id]; e != nil && !e.info.Draining {
+			if e := m.endpoints[id]; e != nil && !e.info.Draining && !e.closed {
 				p.listedSlots[e.info.Service] += m.sizesOf(e.info.Service).fits(e.info.Size, e.info.Slots)
 			}
 		}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -61,7 +60,8 @@
 		// answered.
 		lateShare float64
 		// troubles are the troubles that orders have now.
-		troubles []*trouble
+		troubles    []*trouble
+		evacuations evacuationRequests
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
@@ -152,6 +152,7 @@
 		partitions:  map[[2]int]int{},
 		unreachable: map[[2]int]bool{},
 		calls:       map[uint64]*attempt{},
+		evacuations: evacuationRequests{stored: message.Evacuations{Version: 1}, since: map[string]time.Time{}, blind: map[int]bool{}},
 	}
 	sim.observer = newObserver(sim)
 	for i := range instances {
@@ -205,12 +206,13 @@
 	n.self.Incarnation = sim.incarnation(n)
 	sim.byRef[n.self.Ref] = n
 	n.connected, n.neighbours = map[int]bool{}, map[string]bool{}
-	n.machine = New(sim.now, Config{Self: n.self, LeaseTime: testLeaseTime, StopTime: testStopTime})
+	n.machine = New(sim.now, Config{Self: n.self, LeaseTime: testLeaseTime, StopTime: testStopTime, AwaitEvacuations: true})
 	n.wake = time.Time{}
 	sim.input(n, func(m *Machine, out *Output) {
 		m.SetInstances(sim.now, sim.others(n), out)
 		m.SetEndpoints(sim.now, sim.listedEndpoints(), out)
 	})
+	sim.readEvacuations(n)
 	for _, o := range sim.instances {
 		if o != n && o.alive {
 			sim.after(testReconnectDelay, func() { sim.connect(n, o) })
@@ -376,12 +378,9 @@
 		return
 	}
 	sim.messages++
+	msg = sim.withoutEvacuations(msg, n, o)
 	msg.Body = received(msg.Body)
-	delay := testOneWayDelay
-	if sim.onMessage != nil {
-		delay += sim.onMessage(&msg)
-	}
-	sim.after(delay, func() {
+	sim.after(sim.delayOf(&msg), func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
 		}
@@ -389,21 +388,6 @@
 	})
 }
 
-// received returns the body as a receiver decodes it. Receivers change the reports
-// that they keep, and share no memory with each other or with the sender.
-func received(body message.Body) message.Body {
-	f, ok := body.(message.FreeSlots)
-	if !ok {
-		return body
-	}
-	f.Capacities = slices.Clone(f.Capacities)
-	for i := range f.Capacities {
-		c := &f.Capacities[i]
-		c.Backlog, c.Arrivals = slices.Clone(c.Backlog), slices.Clone(c.Arrivals)
-	}
-	return f
-}
-
 var address = netip.MustParseAddrPort("10.0.0.1:1")
 
 func needs(cores float64) task.Needs { return task.Needs{Cores: cores, MemoryBytes: 1 << 20} }
