--- a/metric/table.go
+++ b/metric/table.go
@@ -36,6 +36,10 @@
 	openJobs
 	heldRuns
 	evacuatedDataCentres
+	offersSent
+	offersEnded
+	offersReserved
+	slotTime
 	numMetrics
 )
 
@@ -104,4 +108,8 @@
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
 	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
+	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
+	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
+	offersReserved:       {"lovagecrank_offer_reserved_seconds_total", counter, "seconds", nil, "On the platform: time for which slots were reserved by offers.", "If it exceeds 1 % of lovagecrank_slot_seconds_total while tasks wait, check the links between the instances."},
+	slotTime:             {"lovagecrank_slot_seconds_total", counter, "seconds", nil, "On the platform: time for which the endpoints that this instance holds had slots, counted in tasks of typical size and added up over the slots.", noAction},
 }
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -143,9 +143,14 @@
 
 		answerTimes answerTimes
 
-		offers    map[uint64]*offer
+		offers map[uint64]*offer
+		// shares are the shares of the waiting tasks that holders may offer
+		// slots for.
+		shares    shares
 		lastOffer uint64
-		arrivals  arrivals
+		// offerCounts counts the offers, for metrics.
+		offerCounts OfferCounts
+		arrivals    arrivals
 		// taskSizes describes the sizes of tasks, by service.
 		taskSizes map[string]*taskSizes
 
@@ -175,6 +180,7 @@
 		parked:        map[string]*homeJob{},
 		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
+		shares:        newShares(cfg.Self.ID),
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 	}
@@ -203,7 +209,7 @@
 	}
 	m.forgetUnlisted(listed)
 	m.sortEndpoints()
-	m.closeEvacuated()
+	m.closeEvacuated(now)
 	m.reassignNeeded = true
 	m.advance(now, out)
 }
@@ -306,6 +312,7 @@
 	m.handleSuspension(now, out)
 	m.tickLate = m.resumed || now.Sub(m.lastTick)+m.uncounted > tickPeriod+maxTickDelay
 	m.resumed = false
+	m.countSlotTime(now.Sub(m.lastTick))
 	m.lastTick, m.uncounted = now, 0
 	m.expireEvacuationWait(now, out)
 	m.expireLostPeers(now, out)
@@ -313,7 +320,7 @@
 	m.forgetReached()
 	m.expireJobs(now, out)
 	m.deferJobs(now, out)
-	m.expireOffers(now)
+	m.expireOffers(now, out)
 	m.expireOrphans(now)
 	m.expireReportedEnds(now)
 	m.runNumbers.expire(now)
