--- a/pool/sharing_test.go
+++ b/pool/sharing_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/lovagecrank/lovagecrank/message"
 )
 
 // The targets of sharing. A caller pays for a slot that stands idle while its task
@@ -68,3 +71,26 @@
 		})
 	}
 }
+
+// received returns the body as a receiver decodes it. Receivers change the reports
+// that they keep, and share no memory with each other or with the sender.
+func received(body message.Body) message.Body {
+	f, ok := body.(message.FreeSlots)
+	if !ok {
+		return body
+	}
+	f.Capacities = slices.Clone(f.Capacities)
+	for i := range f.Capacities {
+		c := &f.Capacities[i]
+		c.Backlog, c.Arrivals = slices.Clone(c.Backlog), slices.Clone(c.Arrivals)
+	}
+	return f
+}
+
+// delayOf returns how long a message takes, which onMessage may change.
+func (sim *simulation) delayOf(msg *message.Message) time.Duration {
+	if sim.onMessage == nil {
+		return testOneWayDelay
+	}
+	return testOneWayDelay + sim.onMessage(msg)
+}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -393,21 +392,6 @@
 	})
 }
 
-// received returns the body as a receiver decodes it. Receivers change the reports
-// that they keep, and share no memory with each other or with the sender.
-func received(body message.Body) message.Body {
-	f, ok := body.(message.FreeSlots)
-	if !ok {
-		return body
-	}
-	f.Capacities = slices.Clone(f.Capacities)
-	for i := range f.Capacities {
-		c := &f.Capacities[i]
-		c.Backlog, c.Arrivals = slices.Clone(c.Backlog), slices.Clone(c.Arrivals)
-	}
-	return f
-}
-
 var address = netip.MustParseAddrPort("10.0.0.1:1")
 
 func needs(cores float64) task.Needs { return task.Needs{Cores: cores, MemoryBytes: 1 << 20} }
