endpoint, platform, runner: read remaining and cold times

Cause: a worker's cold time was not read, and of the remaining time in a poll reply only whether there is one, so that no decision could know when an endpoint leaves or how long it is slow.

Change: endpoint.Info.ColdUntil is an absolute time, so that a cold time that shrinks is no change of the list; two readings that differ by up to a second count as equal, and the first is kept, so that small differences don't add up. PollReply.Remaining is the least time until the endpoint leaves. A remaining time that can't be right is marked as negative.

Nothing uses the new fields yet.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -48,6 +48,9 @@
 		// StartedAt is when the endpoint started; zero if unknown. A different
 		// time under the same ID means that it restarted and lost its state.
 		StartedAt time.Time
+		// ColdUntil is until when the endpoint is slow after its start; zero if
+		// it is not known to be.
+		ColdUntil time.Time
 	}
 
 	// Load is the state that an endpoint reports with each reply.
@@ -59,3 +62,12 @@
 		Draining bool
 	}
 )
+
+// ColdUntil returns the time until which an endpoint is cold that has reported how
+// long that lasts; zero if it is not cold.
+func ColdUntil(now time.Time, left time.Duration) time.Time {
+	if left <= 0 {
+		return time.Time{}
+	}
+	return now.Add(left)
+}
--- a/endpoint/listing.go
+++ b/endpoint/listing.go
@@ -12,6 +12,11 @@
 // seconds.
 const returnGracePeriod = 2 * time.Second
 
+// coldTolerance is the difference between two times until which an endpoint is
+// cold that counts as none. The platform reports the time that is left, which
+// has the age of the entry as its error.
+const coldTolerance = time.Second
+
 // Listing is the platform's list of endpoints, updated change by change. During
 // an outage the store drops entries of healthy endpoints, so a removal takes
 // effect only after the store has been back for returnGracePeriod.
@@ -35,13 +40,25 @@
 func (l *Listing) Put(info Info) bool {
 	delete(l.removals, info.ID)
 	old, ok := l.entries[info.ID]
+	if ok && sameColdTime(old, info) {
+		info.ColdUntil = old.ColdUntil // small differences don't add up
+	}
 	l.entries[info.ID] = info
 	return !ok || !equalInfo(old, info)
 }
 
 func equalInfo(a, b Info) bool {
 	return a.Address == b.Address && a.DataCentre == b.DataCentre && a.Rack == b.Rack && a.Slots == b.Slots &&
-		a.Size == b.Size && a.Draining == b.Draining && a.Service == b.Service && a.StartedAt.Equal(b.StartedAt) && slices.Equal(a.Labels, b.Labels)
+		a.Size == b.Size && a.Draining == b.Draining && a.Service == b.Service && a.StartedAt.Equal(b.StartedAt) && slices.Equal(a.Labels, b.Labels) && sameColdTime(a, b)
+}
+
+// sameColdTime reports whether two entries differ in their cold times by no more
+// than the error of the readings.
+func sameColdTime(a, b Info) bool {
+	if a.ColdUntil.IsZero() || b.ColdUntil.IsZero() {
+		return a.ColdUntil.IsZero() && b.ColdUntil.IsZero()
+	}
+	return a.ColdUntil.Sub(b.ColdUntil).Abs() <= coldTolerance
 }
 
 // Remove records that the store no longer has the entry. It reports whether this
--- a/pool/output.go
+++ b/pool/output.go
@@ -121,8 +121,10 @@
 		StartedAt time.Time
 		Running   []Running
 		Ended     []End
-		// Draining reports that the endpoint is draining.
-		Draining bool
+		// Draining reports that the endpoint is draining, and Remaining is the least
+		// time until it leaves; negative if what it reported is no such time.
+		Draining  bool
+		Remaining time.Duration
 	}
 
 	// Running is a run that the endpoint lists as running.
--- a/runner/endpoints.go
+++ b/runner/endpoints.go
@@ -58,7 +58,7 @@
 // broadcastListChange sends a change of the list to the peers in the local data
 // centre.
 func (r *Runner) broadcastListChange(c endpoint.Change) {
-	body := message.ListChange{After: c.After, Cursor: c.Cursor, Put: toListedEndpoints(c.Put), Removed: c.Removed}
+	body := message.ListChange{After: c.After, Cursor: c.Cursor, Put: toListedEndpoints(time.Now(), c.Put), Removed: c.Removed}
 	for _, ref := range r.view.Load().LocalPeers {
 		r.send(ref, body)
 	}
@@ -67,7 +67,7 @@
 // queueListChange queues a change that a peer has read, for handleListChanges.
 func (r *Runner) queueListChange(c message.ListChange) {
 	select {
-	case r.listChanges <- endpoint.Change{After: c.After, Cursor: c.Cursor, Put: fromListedEndpoints(c.Put), Removed: c.Removed}:
+	case r.listChanges <- endpoint.Change{After: c.After, Cursor: c.Cursor, Put: fromListedEndpoints(time.Now(), c.Put), Removed: c.Removed}:
 	default: // dropped; the change can be read from the store
 	}
 }
--- a/runner/lists.go
+++ b/runner/lists.go
@@ -23,7 +23,7 @@
 
 // setEndpoints sets the endpoints in use.
 func (r *Runner) setEndpoints(infos []endpoint.Info) {
-	listed := toListedEndpoints(infos)
+	listed := toListedEndpoints(time.Now(), infos)
 	r.listsMu.Lock()
 	r.lists.Endpoints = listed
 	r.listsMu.Unlock()
@@ -76,28 +76,36 @@
 		}
 	}
 	r.setInstances(instances)
-	r.setEndpoints(fromListedEndpoints(l.Endpoints))
+	r.setEndpoints(fromListedEndpoints(time.Now(), l.Endpoints))
 }
 
-// toListedEndpoints converts endpoints to their form in messages.
-func toListedEndpoints(infos []endpoint.Info) []message.ListedEndpoint {
+// toListedEndpoints converts endpoints to their form in messages that are sent now.
+func toListedEndpoints(now time.Time, infos []endpoint.Info) []message.ListedEndpoint {
 	list := make([]message.ListedEndpoint, 0, len(infos))
 	for _, i := range infos {
 		list = append(list, message.ListedEndpoint{
 			ID: i.ID, Address: i.Address, DataCentre: i.DataCentre, Rack: i.Rack, Slots: i.Slots, Size: i.Size,
-			Draining: i.Draining, Service: i.Service, Labels: i.Labels, StartedAt: i.StartedAt,
+			Draining: i.Draining, Service: i.Service, Labels: i.Labels, StartedAt: i.StartedAt, ColdFor: coldFor(now, i),
 		})
 	}
 	return list
 }
 
-// fromListedEndpoints converts the endpoints of a message.
-func fromListedEndpoints(list []message.ListedEndpoint) []endpoint.Info {
+// coldFor returns how much longer the endpoint is cold; zero if it is not.
+func coldFor(now time.Time, i endpoint.Info) time.Duration {
+	if i.ColdUntil.IsZero() {
+		return 0
+	}
+	return max(i.ColdUntil.Sub(now), 0)
+}
+
+// fromListedEndpoints converts the endpoints of a message that has just arrived.
+func fromListedEndpoints(now time.Time, list []message.ListedEndpoint) []endpoint.Info {
 	infos := make([]endpoint.Info, 0, len(list))
 	for _, e := range list {
 		infos = append(infos, endpoint.Info{
 			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Rack: e.Rack, Slots: e.Slots, Size: e.Size,
-			Draining: e.Draining, Service: e.Service, Labels: e.Labels, StartedAt: e.StartedAt,
+			Draining: e.Draining, Service: e.Service, Labels: e.Labels, StartedAt: e.StartedAt, ColdUntil: endpoint.ColdUntil(now, e.ColdFor),
 		})
 	}
 	return infos
