--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
@@ -25,8 +26,17 @@
 	// moveTime is the time from the decision to move a run to the start of the next
 	// one, without the time of the stop: three round trips between data centres.
 	moveTime = 15 * time.Millisecond
+	// moveWindow is how long after a move its task may not yet have taken the slot
+	// elsewhere: a stop, its proof, the start and the next report of free slots.
+	moveWindow = 150 * time.Millisecond
 )
 
+// move is a run that was stopped because its endpoint leaves.
+type move struct {
+	service string
+	at      time.Time
+}
+
 // applyRemaining records what a poll reply says of the endpoint's end.
 func (m *Machine) applyRemaining(now time.Time, e *endpointState, reply PollReply, out *Output) {
 	l := &e.lifetime
@@ -125,19 +135,26 @@
 			peersFree += c.Free
 		}
 	}
-	return free+peersFree/(len(m.sortedPeers)+1) > m.pendingMoves(e.info.Service)
+	return free+peersFree/(len(m.sortedPeers)+1) > m.pendingMoves(now, e.info.Service)
 }
 
-// pendingMoves returns the number of runs that are being stopped to be moved.
-func (m *Machine) pendingMoves(service string) int {
+// pendingMoves returns the number of moves whose tasks have not taken their slots
+// elsewhere yet.
+func (m *Machine) pendingMoves(now time.Time, service string) int {
+	m.moves = slices.DeleteFunc(m.moves, func(v move) bool { return now.Sub(v.at) > moveWindow })
 	n := 0
+	for _, v := range m.moves {
+		if v.service == service {
+			n++
+		}
+	}
 	for _, e := range m.held {
 		if e.info.Service != service || !e.lifetime.leaving() {
 			continue
 		}
 		for _, r := range e.runs {
-			if r.moved {
-				n++
+			if r.moved && now.Sub(r.stopRequestedAt) > moveWindow {
+				n++ // not among m.moves any more
 			}
 		}
 	}
@@ -148,6 +165,7 @@
 // proved.
 func (m *Machine) moveRun(now time.Time, e *endpointState, r *heldRun, out *Output) {
 	r.moved = true
+	m.moves = append(m.moves, move{e.info.Service, now})
 	out.log(event.RunMoved, r.ref.Task, fmt.Sprintf("run %d on endpoint %s, which leaves in %s or later: it began %s ago with an estimate of %s, is at %.0f %% and ends in %s at the earliest",
 		r.ref.Number, e.info.ID, milliseconds(e.lifetime.end(now).Sub(now)), milliseconds(now.Sub(r.startedAt)), milliseconds(r.work), r.progress.percent, milliseconds(r.earliestEnd().Sub(now))))
 	m.sendStop(now, e, r, out)
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -95,6 +95,8 @@
 		holdings holdings
 		// turnovers are the services of which endpoints drain or are new.
 		turnovers map[string]*turnover
+		// moves are the recent moves of runs from endpoints that leave.
+		moves []move
 
 		peers map[instance.Ref]*peer
 		// lostPeers are the peers whose stream ended less than reconnectTimeout
