--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -84,7 +84,7 @@
 // shouldMove reports whether a run is to be stopped, so that its task starts
 // elsewhere before its endpoint leaves.
 func (m *Machine) shouldMove(now time.Time, e *endpointState, r *heldRun) bool {
-	return e.outlasts(now, r) && !r.orphaned && m.usefulElsewhere(now, r) && m.hasRoomElsewhere(now, e, r)
+	return e.outlasts(now, r) && m.usefulElsewhere(now, r) && m.hasRoomElsewhere(now, e, r)
 }
 
 // usefulElsewhere reports whether a new run of the task that starts now would end in
--- a/pool/lifetime_rules_test.go
+++ b/pool/lifetime_rules_test.go
@@ -243,6 +243,16 @@
 	sim.advance(300 * time.Millisecond) // the next poll
 	_, leaving, _ = capacities()
 	is.Equal(leaving, float64(runs))
+	told := 0.0
+	sim.advance(200 * time.Millisecond)
+	for _, n := range sim.instances {
+		for _, p := range n.machine.sortedPeers {
+			if c := p.capacity("s"); c != nil {
+				told += c.Leaving
+			}
+		}
+	}
+	is.Equal(told, float64(runs))
 	for _, n := range sim.instances {
 		others := 0
 		for _, p := range n.machine.sortedPeers {
