--- a/pool/lifetime_rules_test.go
+++ b/pool/lifetime_rules_test.go
@@ -394,3 +394,17 @@
 		})
 	}
 }
+
+// TestViewOfLifetimes tests the numbers behind the metric of held endpoints.
+func TestViewOfLifetimes(t *testing.T) {
+	is := is.New(t)
+	sim := newFleet(t, 1, 1, 1, 4)
+	sim.advance(2 * time.Second)
+	sim.endpoints[0].becomeCold(time.Second)
+	sim.endpoints[1].leave(time.Second, 2*time.Second)
+	sim.advance(700 * time.Millisecond)
+	v := sim.instances[0].machine.View(sim.now)
+	is.Equal([]int{v.Held, v.Active, v.Draining, v.Cold}, []int{4, 4, 1, 1})
+	sim.advance(time.Second)
+	is.Equal(sim.instances[0].machine.View(sim.now).Cold, 0)
+}
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -20,6 +20,9 @@
 	// Held and Active count the held endpoints and those without runs of an
 	// earlier holder. Running counts the runs on them.
 	Held, Active, Running int
+	// Draining and Cold count the active endpoints that are draining and the others
+	// that are cold.
+	Draining, Cold int
 	// Connected are the connected peers. LocalPeers are the first of them, those
 	// in the local data centre. ReaderRank is how many of the latter that are not
 	// draining precede this instance in the order in which instances read the
@@ -39,9 +42,7 @@
 	for _, e := range m.held {
 		v.Held++
 		v.Running += len(e.runs)
-		if e.active {
-			v.Active++
-		}
+		v.countState(now, e)
 	}
 	for i, p := range m.sortedPeers {
 		v.Connected = append(v.Connected, p.info.Ref)
@@ -57,6 +58,20 @@
 	return v
 }
 
+// countState counts a held endpoint by its state.
+func (v *View) countState(now time.Time, e *endpointState) {
+	if !e.active {
+		return
+	}
+	v.Active++
+	switch {
+	case e.info.Draining:
+		v.Draining++
+	case e.lifetime.cold(now):
+		v.Cold++
+	}
+}
+
 // readsFirst reports whether a precedes b as a reader of the platform's list for
 // the whole data centre. The larger instance comes first, since reading takes
 // processor time.
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -3,10 +3,13 @@
 import "github.com/lovagecrank/lovagecrank/metric"
 
 // The values of the state label of held endpoints. A claimed endpoint may still
-// have runs of an earlier holder; an open one has none.
+// have runs of an earlier holder; the others have none. A draining one gets no work,
+// a cold one less than an open one.
 const (
-	openState    = "open"
-	claimedState = "claimed"
+	openState     = "open"
+	claimedState  = "claimed"
+	drainingState = "draining"
+	coldState     = "cold"
 )
 
 // snapshot returns the values of the gauges for a scrape.
@@ -19,6 +22,8 @@
 		PeersLive:            len(v.Connected),
 		Jobs:                 v.Jobs,
 		Runs:                 v.Running,
-		EndpointStates:       map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
+		EndpointStates: map[string]int{
+			openState: v.Active - v.Draining - v.Cold, claimedState: v.Held - v.Active, drainingState: v.Draining, coldState: v.Cold,
+		},
 	}
 }
