--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -179,8 +180,8 @@
 // announceCapacity sets how many of the reported slots are about to be taken by runs
 // that outlast their endpoints, and how many will be usable soon.
 func (m *Machine) announceCapacity(now time.Time, c *message.Capacity) {
-	leaving, joining := 0, 0
-	typical := m.typicalNeeds[c.Service]
+	leaving, joining := 0, 0.0
+	sizes := m.sizesOf(c.Service)
 	for _, e := range m.held {
 		switch {
 		case e.info.Service != c.Service:
@@ -188,14 +189,15 @@
 			leaving += e.outlastingRuns(now)
 		case !e.active:
 			if e.unresponsiveSince.IsZero() && !e.silent(now) && !e.releasing {
-				joining += fittingTasks(typical, e.info.Size, e.info.Slots)
+				joining += sizes.fits(e.info.Size, e.info.Slots)
 			}
 		case e.lifetime.cold(now) && e.ready(now):
-			total := fittingTasks(typical, e.info.Size, e.info.Slots)
-			joining += total - limitCold(e.lifetime.share(now), total)
+			total := sizes.fits(e.info.Size, e.info.Slots)
+			usable, _ := e.coldSlots(now, sizes, total, 0)
+			joining += total - usable
 		}
 	}
-	c.Leaving, c.Joining = min(float64(leaving), float64(c.Slots)), float64(joining)
+	c.Leaving, c.Joining = min(float64(leaving), float64(c.Slots)), math.Round(joining) // whole numbers change less often
 }
 
 // outlastingRuns returns the number of runs whose tasks will have to start elsewhere
--- a/pool/lifetime.go
+++ b/pool/lifetime.go
@@ -108,30 +108,54 @@
 	return min(slowest, estimate+time.Duration((1-coldSpeed)*float64(l.coldUntil.Sub(now))))
 }
 
-// coldLimit returns how many tasks of that size the endpoint may run at once.
-func (e *endpointState) coldLimit(now time.Time, size task.Needs) int {
-	if !e.lifetime.cold(now) {
-		return math.MaxInt
+// coldSize returns the part of the endpoint's resources and slots that tasks may use
+// while it is cold.
+func (e *endpointState) coldSize(now time.Time) (size task.Needs, slots int) {
+	share := e.lifetime.share(now)
+	size = task.Needs{
+		Cores:        share * e.info.Size.Cores,
+		MemoryBytes:  int64(share * float64(e.info.Size.MemoryBytes)),
+		Accelerators: e.info.Size.Accelerators,
 	}
-	return limitCold(e.lifetime.share(now), fittingTasks(size, e.info.Size, e.info.Slots))
+	return size, max(int(math.Round(share*float64(e.info.Slots))), 1)
 }
 
-// atColdLimit reports whether the endpoint is cold and gets no more tasks of that
-// size for now.
-func (e *endpointState) atColdLimit(now time.Time, size task.Needs) bool {
-	return e.lifetime.cold(now) && len(e.runs)+e.reserved >= e.coldLimit(now, size)
+// limitedByCold reports whether the endpoint is cold and has tasks already: one task
+// may start there in any case.
+func (e *endpointState) limitedByCold(now time.Time) bool {
+	return e.lifetime.cold(now) && len(e.runs)+e.reserved > 0
 }
 
-// coldSlots returns how many of the slots the endpoint may use.
-func (e *endpointState) coldSlots(now time.Time, total, free int) (usable, usableFree int) {
-	if !e.lifetime.cold(now) {
-		return total, free
+// atColdLimit reports whether the endpoint gets no task of that size because it is
+// cold.
+func (e *endpointState) atColdLimit(now time.Time, n task.Needs) bool {
+	if !e.limitedByCold(now) {
+		return false
 	}
-	usable = limitCold(e.lifetime.share(now), total)
-	return usable, max(min(free, usable-len(e.runs)-e.reserved), 0)
+	size, slots := e.coldSize(now)
+	return len(e.runs)+e.reserved >= slots || !fitsWithin(addScaled(e.used, n, 1), size)
 }
 
-// limitCold returns a share of the slots, but one at least if there are any.
-func limitCold(share float64, slots int) int {
-	return max(int(math.Round(share*float64(slots))), min(slots, 1))
+// coldRemaining returns the resources that are neither used nor reserved and that a
+// task may use, also while the endpoint is cold.
+func (e *endpointState) coldRemaining(now time.Time) task.Needs {
+	if !e.limitedByCold(now) {
+		return e.remaining()
+	}
+	size, _ := e.coldSize(now)
+	return addScaled(size, e.used, -1)
+}
+
+// coldSlots returns how many of the slots the endpoint may use while it is cold: the
+// share of the cold time, but one task if it has room for it.
+func (e *endpointState) coldSlots(now time.Time, sizes taskSizes, total, free float64) (usable, usableFree float64) {
+	if !e.lifetime.cold(now) {
+		return total, free
+	}
+	size, slots := e.coldSize(now)
+	usable = max(sizes.fits(size, slots), min(total, 1))
+	if !e.limitedByCold(now) {
+		return usable, min(free, usable)
+	}
+	return usable, min(free, sizes.fits(e.coldRemaining(now), slots-len(e.runs)-e.reserved))
 }
