pool: a notice that the list no longer has is withdrawn

An endpoint whose polls and whose list said that it drains stayed without work in the same boot when the list said that it is ready again (TestWithdrawnNotice, red before): the mark of the polls was set beside the list's.

--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -84,6 +84,24 @@
 	is.Equal(sim.endpoints[1].startCount, 2)
 }
 
+// TestWithdrawnNotice answers an endpoint that drains by its polls and by the list, and
+// then takes work again in the same boot: it gets work once the list says so.
+func TestWithdrawnNotice(t *testing.T) {
+	is := is.New(t)
+	sim := newFleet(t, 1, 1, 1, 1)
+	sim.advance(2 * time.Second)
+	e := sim.endpoints[0]
+	sim.submit(0, &longQueue, 9*time.Second, step(1, 900*time.Millisecond))
+	e.leaving.at = sim.now.Add(5 * time.Second)
+	sim.listEndpoints()
+	sim.advance(time.Second)
+	e.leaving = fakeLeaving{}
+	sim.listEndpoints()
+	sim.submit(0, &longQueue, 9*time.Second, step(1, 100*time.Millisecond))
+	sim.advance(500 * time.Millisecond)
+	is.Equal(e.startCount, 2)
+}
+
 // TestNoticeOfBoot tests that what one boot said of its end does not hold for the next
 // one, which drains too but reports a time that can't be right, and that a notice that
 // is withdrawn moves nothing.
--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -60,6 +60,7 @@
 // applyListed records what the platform's list says of the endpoint's lifetime.
 func (e *endpointState) applyListed(now time.Time, info endpoint.Info) {
 	e.lifetime.beginBoot(info.StartedAt)
+	e.lifetime.setListed(info.Draining)
 	if e.lifetime.setCold(now, info.ColdUntil) {
 		for _, r := range e.runs {
 			e.expectCold(now, r)
--- a/pool/lifetime.go
+++ b/pool/lifetime.go
@@ -24,9 +24,10 @@
 // lifetime is what is known of when an endpoint leaves and until when it is cold.
 // It is kept when the endpoint is released.
 type lifetime struct {
-	// draining reports that the boot that started at boot said that it is draining.
-	draining bool
-	boot     time.Time
+	// draining reports that the boot that started at boot said that it is draining,
+	// and listedDraining that the list said so.
+	draining, listedDraining bool
+	boot                     time.Time
 	// leavesAt is when the endpoint leaves at the earliest, as read by the poll sent
 	// at readAt; zero if it has not said so. invalid reports that it said something
 	// that can't be right, and that this was logged.
@@ -56,6 +57,15 @@
 	}
 }
 
+// setListed records whether the list says that the endpoint is draining. A notice that
+// the list no longer has was withdrawn.
+func (l *lifetime) setListed(draining bool) {
+	if l.listedDraining && !draining {
+		l.draining, l.leavesAt = false, time.Time{}
+	}
+	l.listedDraining = draining
+}
+
 // leaving reports whether the end of the endpoint is announced.
 func (l *lifetime) leaving() bool { return !l.leavesAt.IsZero() }
 
