--- a/event/table.go
+++ b/event/table.go
@@ -50,6 +50,10 @@
 	EvacuationInForce
 	EvacuationLifted
 	EvacuationsUnknown
+	RunMoved
+	EndpointLeft
+	EndpointsReplaced
+	RemainingTimeInvalid
 	numKinds
 )
 
@@ -103,6 +107,10 @@
 	EvacuationInForce:    row("LC2077", catalogue.Info, "Evacuation in force", "An operator asked that no work goes to the endpoints of the data centre. Runs that are under way there go on.", "No action is needed. Jobs that only these endpoints could run are refused until the request is taken back."),
 	EvacuationLifted:     row("LC2078", catalogue.Info, "Evacuation lifted", "The request was taken back, and the endpoints of the data centre get work again.", "No action is needed."),
 	EvacuationsUnknown:   row("LC2079", catalogue.Warning, "Evacuations unknown", "The instance has started and could not learn which data centres are evacuated. It uses all endpoints until it does.", "Check the links to the platform and to the other instances. An operator who has evacuated a data centre should stop this instance."),
+	RunMoved:             row("LC2080", catalogue.Info, "Run moved", "A run would have outlasted its endpoint, which leaves. It is stopped there, and its task starts elsewhere.", "No action is needed."),
+	EndpointLeft:         row("LC2081", catalogue.Info, "Endpoint left", "An endpoint that was draining no longer answers and has no runs any more. The log gives how many runs ended with it.", "If many runs end with their endpoints, give a longer notice before endpoints are taken away."),
+	EndpointsReplaced:    row("LC2082", catalogue.Info, "Endpoints replaced", "Many endpoints of a service drain or are new within a short time. The line has their numbers and stands for one line each.", "No action is needed if this was planned."),
+	RemainingTimeInvalid: row("LC2083", catalogue.Warning, "Remaining time is invalid", "A draining endpoint reported a remaining time that cannot be right. It is ignored; the endpoint gets no new work.", "Check the endpoint that the log names."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
