--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -124,14 +124,14 @@
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
 	dst.add(heldRuns, float64(s.Runs))
+	dst.addPeers(s.Peers)
+	for _, dc := range s.Evacuated {
+		dst.add(evacuatedDataCentres, 1, dc)
+	}
 	dst.add(offersSent, float64(s.Offers.Sent))
 	dst.add(offersEnded, float64(s.Offers.Taken), "taken")
 	dst.add(offersEnded, float64(s.Offers.Declined), "declined")
 	dst.add(offersEnded, float64(s.Offers.Expired), "expired")
 	dst.add(offersReserved, s.Offers.Reserved.Seconds())
 	dst.add(slotTime, s.Offers.SlotTime.Seconds())
-	dst.addPeers(s.Peers)
-	for _, dc := range s.Evacuated {
-		dst.add(evacuatedDataCentres, 1, dc)
-	}
 }
--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -137,7 +137,7 @@
 		switch {
 		case (c.Free == 0) != (old.Free == 0), freeSlotsShifted(c.Free, old.Free), c.Slots != old.Slots, backlogShifted(c.Backlog, old.Backlog, c.Slots), backlogShifted(old.Backlog, c.Backlog, c.Slots):
 			delay = m.sendInterval(len(m.recipients()), shiftSendInterval, otherCPUShare)
-		case delay < 0 && (c.Free != old.Free || c.Largest != old.Largest || backlogShifted(c.Backlog, old.Backlog, 0) || backlogShifted(old.Backlog, c.Backlog, 0)):
+		case delay < 0 && (c.Free != old.Free || c.Largest != old.Largest || c.Leaving != old.Leaving || c.Joining != old.Joining || backlogShifted(c.Backlog, old.Backlog, 0) || backlogShifted(old.Backlog, c.Backlog, 0)):
 			delay = m.sendInterval(len(m.recipients()), minorSendInterval, otherCPUShare)
 		}
 	}
@@ -192,6 +192,7 @@
 		c.Slots, c.Free = m.slotTotals(now, c.Service)
 		c.Largest = m.largestFree(now, c.Service)
 		c.Arrivals = m.arrivals.rates(now, c.Service)
+		m.announceCapacity(now, c)
 		if len(c.Backlog) > 0 {
 			c.Free = 0 // own tasks take the remaining slots
 		}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -90,7 +90,12 @@
 // placeTask places a task here or at a peer and reports whether it did.
 func (m *Machine) placeTask(now time.Time, t *homeTask, out *Output) bool {
 	s := m.startRequest(t)
-	if e := m.pickEndpoint(now, s); e != nil {
+	e := m.pickEndpoint(now, s)
+	if p := m.warmerPeer(now, e, s); p != nil {
+		m.placeOnPeer(t, p, s, out)
+		return true
+	}
+	if e != nil {
 		assignRun(t, &s)
 		t.holder = m.cfg.Self.Ref
 		t.endpoint = e.info.ID
@@ -186,7 +191,7 @@
 		if !e.accepts(now, s) {
 			continue
 		}
-		score := e.score(s) + fitWeight*sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
+		score := e.score(s) + e.coldScore(now, s) + fitWeight*sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
 		if e.health.unanswered > 0 {
 			score += unansweredPenalty // the task may be the one that was not answered
 		}
@@ -202,7 +207,7 @@
 	if !e.ready(now) || e.info.Service != s.Service {
 		return false
 	}
-	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots {
+	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
 		return false
 	}
 	if s.Requires != "" && !slices.Contains(e.info.Labels, s.Requires) || slices.Contains(s.Avoid, e.info.ID) {
@@ -245,7 +250,7 @@
 	if !e.ready(now) {
 		return 0, 0
 	}
-	return sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved)
+	return e.coldSlots(now, sizes, sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved))
 }
 
 // remaining returns the resources that are neither used nor reserved.
@@ -274,7 +279,7 @@
 		if e.info.Service != service || !e.ready(now) || len(e.runs)+e.reserved >= e.info.Slots {
 			continue
 		}
-		if remaining := e.remaining(); remaining.Cores > largest.Cores {
+		if remaining := e.coldRemaining(now); remaining.Cores > largest.Cores {
 			largest = remaining
 		}
 	}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -249,7 +249,7 @@
 	var list []endpoint.Info
 	for _, e := range sim.endpoints {
 		if e.up {
-			list = append(list, e.info)
+			list = append(list, e.listed())
 		}
 	}
 	return list
@@ -318,6 +318,7 @@
 		sim.handleAnswer(n, a)
 	}
 	for _, s := range out.Starts {
+		sim.observer.startSent(n, s)
 		sim.sendOrder(n, startOrder, s.Order, sim.transferStart(n), func(e *fakeEndpoint) Reply { return e.start(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStartReply(sim.now, StartReply{r, s.Run}, out) })
 	}
@@ -380,7 +381,11 @@
 	sim.messages++
 	msg = sim.withoutEvacuations(msg, n, o)
 	msg.Body = received(msg.Body)
-	sim.after(sim.delayOf(&msg), func() {
+	delay := testOneWayDelay
+	if sim.onMessage != nil {
+		delay += sim.onMessage(&msg)
+	}
+	sim.after(delay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
 		}
