--- a/pool/lifetime_test.go
+++ b/pool/lifetime_test.go
@@ -184,7 +184,7 @@
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 3, 6)
 	sim.advance(2 * time.Second)
-	c := sim.submit(0, &longQueue, 9*time.Second, step(12, 500*time.Millisecond))
+	sim.submit(0, &longQueue, 9*time.Second, step(12, 500*time.Millisecond))
 	sim.advance(100 * time.Millisecond)
 	e := sim.endpoints[0]
 	e.leaving.at = sim.now.Add(6 * time.Second) // the list does not say so
@@ -204,7 +204,6 @@
 	}
 	sim.advance(3 * time.Second)
 	is.Equal(e.startCount, starts)
-	_ = c
 }
 
 // holderOf returns the live instance that holds the endpoint, or nil.
