pool, endpoint: one judge of health, speeds of endpoints and queues

Cause: pool blamed an endpoint after three failed runs in a row, whatever other endpoints or the tasks did, and gave it nothing for 0.4 s or more after each refused start. Ruled out: a fixed share of failures (leaves less room than there is when 60 % fail half). Change: package endpoint's Tracker judges on both paths; failures of one job count once; refusals cost 20 ms, doubling; a failed task avoids the endpoint; last attempts wait for one that hardly fails; speeds are learnt against the queue's own ratio and passed to the data centre.

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -15,9 +15,6 @@
 	// minNormalRate is the lower bound of the share of failures that counts as
 	// normal.
 	minNormalRate = 0.05
-	// suspectThreshold is the evidence at which an endpoint is ejected or
-	// becomes suspect.
-	suspectThreshold = 12.0
 	// rateWindow is the least time for which outcomes count towards the normal
 	// rate.
 	rateWindow = 5 * time.Second
@@ -54,6 +51,7 @@
 		e.lastAnsweredSend = sent
 	}
 	e.peerEjectedUntil = time.Time{}
+	e.countOutcome(false)
 	switch e.health {
 	case Healthy:
 		e.dc.countOutcome(now, 0)
@@ -69,6 +67,7 @@
 }
 
 func (t *Tracker) handleFailure(now time.Time, e *entry, out *Output) {
+	e.countOutcome(true)
 	switch e.health {
 	case Healthy:
 		e.dc.countOutcome(now, 1)
@@ -82,7 +81,12 @@
 		if e.normalRate() >= failingRate {
 			e.dc.recordEjectionWithheld(now, e, out)
 		}
-		if e.evidence >= suspectThreshold {
+		if e.evidence >= t.cfg.FailureThreshold {
+			if t.keepsWork(e) {
+				e.evidence = t.cfg.FailureThreshold
+				e.dc.recordEjectionWithheld(now, e, out)
+				return
+			}
 			e.dc.current.failed = max(e.dc.current.failed-e.failures, 0)
 			t.ejectOrPause(now, e, out)
 		}
@@ -115,8 +119,8 @@
 // normalRate returns the share of failures at the healthy endpoints of e's data
 // centre, without the outcomes that count in e's evidence.
 func (e *entry) normalRate() float64 {
-	failed := e.dc.current.failed + e.dc.previous.failed - e.failures
-	finished := e.dc.current.finished + e.dc.previous.finished - e.failures - e.successes
+	failed := e.dc.current.failed + e.dc.previous.failed + e.dc.reported.failed - e.failures
+	finished := e.dc.current.finished + e.dc.previous.finished + e.dc.reported.finished - e.failures - e.successes
 	rate := (float64(max(failed, 0)) + minNormalRate*priorOutcomes) / (float64(max(finished, 0)) + priorOutcomes)
 	return min(max(rate, minNormalRate), failingRate)
 }
@@ -129,6 +133,9 @@
 		}
 		d.windowStart = now
 	}
+	if now.Sub(d.reportedAt) >= 2*rateWindow {
+		d.reported = outcomeCounts{}
+	}
 	d.current.failed += failed
 	d.current.finished++
 }
@@ -172,10 +179,10 @@
 
 // startTrial allows a suspect endpoint one task. If the evidence, recomputed
 // with the outcomes of the other endpoints during the pause, is below half of
-// suspectThreshold, it marks the endpoint healthy instead. An endpoint that
+// Settings.FailureThreshold, it marks the endpoint healthy instead. An endpoint that
 // failed on probation has no counted failures to recompute the evidence from.
 func (t *Tracker) startTrial(now time.Time, e *entry, out *Output) {
-	if e.failures > 0 && e.currentEvidence() < suspectThreshold/2 {
+	if e.failures > 0 && e.currentEvidence() < t.cfg.FailureThreshold/2 {
 		e.dc.recordEjectionWithheld(now, e, out)
 		t.markHealthy(e, out)
 		return
@@ -255,7 +262,7 @@
 
 func (t *Tracker) handleProbationSuccess(now time.Time, e *entry, out *Output) {
 	e.probationSuccesses++
-	if e.probationSuccesses < probationAnswers {
+	if e.probationSuccesses < probationAnswers && !t.shortage {
 		return
 	}
 	if e.logRatios.len() >= probationAnswers && e.logSlowdown() > math.Log(slowOnProbationFactor) {
--- a/endpoint/queries.go
+++ b/endpoint/queries.go
@@ -171,20 +171,20 @@
 		return min(1, e.info.Slots)
 	case Healthy:
 	}
-	return e.slotLimit()
+	return t.slotLimit(e)
 }
 
 // slotLimit returns how many tasks a healthy e may run concurrently. The limit
 // falls as the evidence that e fails or is slow grows. It is 1 from a peer's
 // ejection of e until e answers.
-func (e *entry) slotLimit() int {
+func (t *Tracker) slotLimit(e *entry) int {
 	slots := e.info.Slots
 	switch {
-	case !e.peerEjectedUntil.IsZero() || e.evidence >= 0.75*suspectThreshold:
+	case !e.peerEjectedUntil.IsZero() || e.evidence >= 0.75*t.cfg.FailureThreshold:
 		slots = min(slots, 1)
-	case e.evidence >= 0.5*suspectThreshold:
+	case e.evidence >= 0.5*t.cfg.FailureThreshold:
 		slots = min(slots, 2)
-	case e.evidence >= 0.35*suspectThreshold:
+	case e.evidence >= 0.35*t.cfg.FailureThreshold:
 		slots = min(slots, 4)
 	}
 	if e.mayBeSlow() {
--- a/endpoint/settings.go
+++ b/endpoint/settings.go
@@ -13,6 +13,14 @@
 	// may be ejected at the same time; 0.5 by default, so that a whole rack can
 	// be ejected.
 	MaxEjectedShare float64
+	// MaxPausedShare is the maximum share of a data centre's endpoints that may
+	// be ejected or paused at the same time; 1 by default. Beyond it, a failing
+	// endpoint keeps its work.
+	MaxPausedShare float64
+	// FailureThreshold is the evidence at which an endpoint is ejected or
+	// paused, as a log-likelihood ratio; 12 by default. Each failure in a row
+	// adds at most log(0.5/0.05).
+	FailureThreshold float64
 	// SuspectPause is the first pause of a suspect endpoint, before it is tried
 	// with one task; 200 ms by default. It doubles with each further pause, up
 	// to Backoff.
@@ -33,6 +41,12 @@
 	if s.MaxEjectedShare <= 0 {
 		s.MaxEjectedShare = 0.5
 	}
+	if s.MaxPausedShare <= 0 {
+		s.MaxPausedShare = 1
+	}
+	if s.FailureThreshold <= 0 {
+		s.FailureThreshold = 12
+	}
 	if s.SuspectPause <= 0 {
 		s.SuspectPause = 200 * time.Millisecond
 	}
--- a/endpoint/tracker.go
+++ b/endpoint/tracker.go
@@ -70,6 +70,8 @@
 		// timed holds the suspect and ejected entries, whose state ends at
 		// entry.until.
 		timed []*entry
+		// shortage reports that there is less room than work; see SetShortage.
+		shortage bool
 	}
 
 	// entry is the state of one endpoint.
@@ -95,6 +97,11 @@
 		evidence float64
 		// failures and successes count the outcomes since evidence was zero.
 		failures, successes int
+		// failedShare is the moving average of the failures among the last
+		// outcomes, of which there are outcomes. streak counts the failures in
+		// a row, and shareBefore is failedShare before the first of them.
+		failedShare, shareBefore float64
+		outcomes, streak         int
 		// lastAnsweredSend is the latest send time of the answered tasks.
 		lastAnsweredSend time.Time
 		// pauses counts the pauses since the endpoint was last healthy.
@@ -149,7 +156,11 @@
 		// rate window that began at windowStart and in the one before.
 		current, previous outcomeCounts
 		windowStart       time.Time
-		ejected           int
+		// reported counts the outcomes at endpoints of other instances, at
+		// reportedAt.
+		reported   outcomeCounts
+		reportedAt time.Time
+		ejected    int
 		// lastWithheldEvent is when event.EjectionWithheld was last emitted.
 		lastWithheldEvent time.Time
 	}
--- a/pool/endpoint_log.go
+++ b/pool/endpoint_log.go
@@ -18,6 +18,8 @@
 	// minLoggedBackoffs is the number of backoffs in a row for which an endpoint
 	// is logged as ejected. A single one is frequent under load.
 	minLoggedBackoffs = 3
+	// minLoggedRefusals is the corresponding number of refused starts.
+	minLoggedRefusals = 5
 )
 
 // holdings are the endpoints claimed and released since the last lines about
@@ -103,16 +105,16 @@
 	e.unresponsiveSince = time.Time{}
 }
 
-// logHealth logs that an endpoint got several backoffs in a row without a
-// successful run, and the first successful run after that.
+// logHealth logs that an endpoint got several backoffs or refused several starts in
+// a row without a successful run, and the first successful run after that.
 func (e *endpointState) logHealth(now time.Time, out *Output) {
 	h := &e.health
 	switch {
-	case !e.loggedEjection && h.backoffs >= minLoggedBackoffs:
+	case !e.loggedEjection && (h.backoffs >= minLoggedBackoffs || h.refusals >= minLoggedRefusals):
 		e.loggedEjection = true
-		out.log(event.EndpointEjected, e.info.ID, fmt.Sprintf("no work for %s after %d backoffs in a row; %d failed runs and %d unanswered starts in a row, slowdown %.1f",
-			milliseconds(h.backoffUntil.Sub(now)), h.backoffs, h.failures, h.unanswered, h.slowdown))
-	case e.loggedEjection && h.backoffs == 0:
+		out.log(event.EndpointEjected, e.info.ID, fmt.Sprintf("no work for %s after %d backoffs in a row; %d refused and %d unanswered starts in a row, speed %.2f",
+			milliseconds(max(h.backoffUntil.Sub(now), 0)), h.backoffs, h.refusals, h.unanswered, e.speed))
+	case e.loggedEjection && h.backoffs == 0 && h.refusals == 0:
 		e.loggedEjection = false
 		out.log(event.EndpointReadmitted, e.info.ID, "a run was successful")
 	}
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -115,6 +115,12 @@
 		used         task.Needs
 		reserved     int
 		health       health
+		// usableSlots is how many runs at once the judgement of the endpoint's
+		// health leaves it, and speed the learnt speed; zero while it is not
+		// active. failedShare is the share of its recent runs that failed, and
+		// outcomes how many runs are known.
+		usableSlots, outcomes int
+		speed, failedShare    float64
 
 		// owner is who should hold the endpoint, as computed for ownerGeneration
 		// of the membership.
@@ -129,7 +135,10 @@
 		needs task.Needs
 		// estimate is the expected run time.
 		estimate time.Duration
-		sentAt   time.Time
+		// queue is the name under which run times are compared: the queue if it
+		// is known here, else the service.
+		queue  string
+		sentAt time.Time
 		// until is when the start is refused as late, on the endpoint's clock.
 		until time.Duration
 		// maySpanBoots reports that the start may have reached an earlier boot of
--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -12,6 +12,9 @@
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
+// tailRunFactor is how many times longer the runs of the tail take.
+const tailRunFactor = 7
+
 type (
 	// fakeEndpoint implements the platform's specification of an endpoint.
 	fakeEndpoint struct {
@@ -33,6 +36,12 @@
 		slowdown float64
 		fails    bool
 		hangs    bool
+		// failShare and refuseShare are the shares of runs that fail and of
+		// starts that are refused, and tailShare that of runs that take
+		// tailFactor times as long.
+		failShare, refuseShare, tailShare float64
+		// starts counts the runs.
+		starts int
 		// losesStops makes stops have no effect and no answer.
 		losesStops bool
 		// fullRefusals counts the starts refused as Full.
@@ -106,6 +115,9 @@
 		return e.reply(Late)
 	}
 	e.extendLease(s.Until)
+	if e.refuseShare > 0 && e.sim.rng.Float64() < e.refuseShare {
+		return e.reply(Unhealthy)
+	}
 	for ref := range e.runs {
 		if ref.Task == s.Run.Task && ref.Number >= s.Run.Number {
 			return e.reply(Old)
@@ -124,6 +136,13 @@
 		return e.reply(Full)
 	}
 	r := &fakeRun{ref: s.Run, needs: n, startedAt: e.sim.now, duration: time.Duration(e.slowdown * float64(duration))}
+	if e.tailShare > 0 && e.sim.rng.Float64() < e.tailShare {
+		r.duration *= tailRunFactor
+	}
+	if e.failShare > 0 && e.sim.rng.Float64() < e.failShare {
+		ok = false
+	}
+	e.starts++
 	e.runs[s.Run] = r
 	e.sim.observer.runStarted(e, s)
 	if !e.hangs {
--- a/pool/health.go
+++ b/pool/health.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/lovagecrank/lovagecrank/run"
-)
+import "time"
 
 const (
 	// initialBackoff and maxBackoff bound how long a misbehaving endpoint gets
@@ -14,15 +10,12 @@
 	// fullBackoff is how long an endpoint gets no work after it had less free
 	// capacity than expected: about the time of one immediate poll.
 	fullBackoff = 20 * time.Millisecond
-	// maxFailures is how many runs must fail in a row before the endpoint is
-	// blamed rather than the tasks.
-	maxFailures = 3
 	// maxUnanswered is how many starts must go unanswered in a row before the
 	// endpoint is blamed.
 	maxUnanswered = 3
-	// slowdownWeight is the weight of a new sample in the moving average of the
-	// slowdown.
-	slowdownWeight = 0.1
+	// maxRefusals is how many starts must be refused in a row before the endpoint
+	// gets one run at a time.
+	maxRefusals = 3
 	// stallFactor is how many times its estimate, which may be off by a half, a
 	// run must take before it is checked for a stall.
 	stallFactor = 3
@@ -32,19 +25,17 @@
 )
 
 type (
-	// health is the holder's assessment of an endpoint.
+	// health is what the holder's orders show of an endpoint at once: no answers,
+	// refusals, stalls. How runs end is judged by judge.
 	health struct {
 		// backoffUntil is when the endpoint may get work again.
 		backoffUntil time.Time
 		// backoffs counts the backoffs since the last successful run.
 		backoffs int
-		// failures counts the failed runs since the last successful one.
-		failures int
 		// unanswered counts the consecutive unanswered starts.
 		unanswered int
-		// slowdown is the average run time divided by the estimate; zero if
-		// unknown.
-		slowdown float64
+		// refusals counts the consecutive refused starts.
+		refusals int
 	}
 
 	// progress is the reported progress of a run.
@@ -85,7 +76,7 @@
 // usable reports whether the endpoint may get work, and whether it is on
 // probation and gets one run at a time.
 func (h *health) usable(now time.Time) (usable, probation bool) {
-	return !now.Before(h.backoffUntil), h.backoffs > 0
+	return !now.Before(h.backoffUntil), h.backoffs > 0 || h.refusals >= maxRefusals
 }
 
 func (h *health) backOff(now time.Time) {
@@ -109,34 +100,19 @@
 	}
 }
 
-// recordStart records that the endpoint began a run.
-func (h *health) recordStart() { h.unanswered = 0 }
-
-// recordEnd records how a run ended.
-func (h *health) recordEnd(now time.Time, status run.Status, ran, estimate time.Duration) {
-	switch status {
-	case run.Done:
-		h.failures, h.backoffs = 0, 0
-		h.updateSlowdown(ran, estimate)
-	case run.Failed:
-		h.failures++
-		if h.failures >= maxFailures {
-			h.backOff(now)
-		}
-	}
+// recordRefusal records that the endpoint refused a start. A refusal costs a
+// round trip, so that an endpoint that refuses some starts keeps its work; one
+// that refuses all of them is asked less and less.
+func (h *health) recordRefusal(now time.Time) {
+	h.backoffUntil = later(h.backoffUntil, now.Add(min(fullBackoff<<min(h.refusals, 8), maxBackoff)))
+	h.refusals++
 }
 
-func (h *health) updateSlowdown(ran, estimate time.Duration) {
-	if estimate <= 0 {
-		return
-	}
-	ratio := float64(ran) / float64(estimate)
-	if h.slowdown == 0 {
-		h.slowdown = ratio
-		return
-	}
-	h.slowdown += slowdownWeight * (ratio - h.slowdown)
-}
+// recordStart records that the endpoint began a run.
+func (h *health) recordStart() { h.unanswered, h.refusals = 0, 0 }
+
+// recordDone records a successful run.
+func (h *health) recordDone() { h.backoffs = 0 }
 
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
--- /dev/null
+++ b/pool/judgement_test.go
@@ -0,0 +1,165 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/event"
+)
+
+// servedShare returns the share of the submitted jobs of all queues that were
+// answered in time to be useful.
+func servedShare(tallies map[string]*tally) float64 {
+	served, submitted := 0, 0
+	for _, y := range tallies {
+		served += y.inGoal + y.late
+		submitted += y.submitted
+	}
+	return float64(served) / float64(max(submitted, 1))
+}
+
+// goalShare returns the share of the submitted jobs of all queues that were
+// answered within their goals.
+func goalShare(tallies map[string]*tally) float64 {
+	inGoal, submitted := 0, 0
+	for _, y := range tallies {
+		inGoal += y.inGoal
+		submitted += y.submitted
+	}
+	return float64(inGoal) / float64(max(submitted, 1))
+}
+
+// TestPartlyFailingEndpoints plays the users' mix of jobs while many endpoints
+// fail half of their runs or refuse many starts. Such endpoints still do a part of
+// their work, which is needed at the higher loads. A task has two to four
+// attempts.
+func TestPartlyFailingEndpoints(t *testing.T) {
+	tests := []struct {
+		name string
+		load float64
+		// affected is the share of the endpoints that fail or refuse.
+		affected, failShare, refuseShare float64
+		minServed, minUrgentInGoal       float64
+	}{
+		// What is left is 0.4 + 0.6 * 0.5 of the room, in which 40 % fits and 70 %
+		// fits if nothing is wasted.
+		{"60 % fail half of their runs, load 40 %", 0.4, 0.6, 0.5, 0, 0.95, 0.5},
+		{"60 % fail half of their runs, load 70 %", 0.7, 0.6, 0.5, 0, 0.8, 0.2},
+		// A refused start costs a round trip, not a slot.
+		{"half refuse 40 % of the starts, load 80 %", 0.8, 0.5, 0, 0.4, 0.9, 0.9},
+		{"all refuse 40 % of the starts, load 80 %", 0.8, 1, 0, 0.4, 0.8, 0.9},
+		{"all fail 20 % of their runs, load 60 %", 0.6, 1, 0.2, 0, 0.9, 0.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := startSimulation(t, 1, 4, 28)
+			for i, e := range sim.endpoints {
+				if float64(i*11%28) < tt.affected*28 {
+					e.failShare, e.refuseShare = tt.failShare, tt.refuseShare
+				}
+			}
+			tallies := sim.generateMixedLoad(20*time.Second, tt.load)
+			sim.advance(22 * time.Second)
+			logTallies(t, tallies)
+			served := servedShare(tallies)
+			urgentShare, _ := tallies["urgent"].shares()
+			t.Logf("served %.3f, in goal %.3f; %d ejections", served, goalShare(tallies), len(sim.logged(event.EndpointEjected, "")))
+			if served < tt.minServed || urgentShare < tt.minUrgentInGoal {
+				t.Errorf("served %.3f, urgent jobs in goal %.3f", served, urgentShare)
+			}
+		})
+	}
+}
+
+// TestEndpointFailsEverything counts the runs that an endpoint draws that fails
+// each run at once, which makes it look free.
+func TestEndpointFailsEverything(t *testing.T) {
+	tests := []struct {
+		name    string
+		load    float64
+		maxRuns int
+	}{
+		// 5 in flight or started before the third failure, and the trials.
+		{"load 30 %", 0.3, 12},
+		{"load 80 %", 0.8, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := startSimulation(t, 1, 4, 28)
+			tallies := sim.generateMixedLoad(15*time.Second, tt.load)
+			sim.advance(5 * time.Second)
+			e := sim.endpoints[9]
+			e.fails, e.slowdown = true, 0.05
+			before := e.starts
+			sim.advance(time.Second)
+			first := e.starts - before
+			sim.advance(9 * time.Second)
+			runs := e.starts - before
+			logTallies(t, tallies)
+			t.Logf("%d runs in the first second, %d in 10 s", first, runs)
+			if runs > tt.maxRuns {
+				t.Errorf("%d runs failed on the endpoint", runs)
+			}
+		})
+	}
+}
+
+// TestEndpointsOfSeveralSpeeds plays the users' mix on endpoints of three kinds
+// with speeds 0.6, 1.0 and 1.6, of which one run in thirty takes seven times as
+// long, at 80 % of their capacity.
+func TestEndpointsOfSeveralSpeeds(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		sim := newSpeedFleet(t, seed)
+		tallies := sim.generateMixedLoad(30*time.Second, 0.8*1.067*0.85)
+		sim.advance(30 * time.Second)
+		sim.checkIdle()
+		logTallies(t, tallies)
+		share, _ := tallies["urgent"].shares()
+		t.Logf("seed %d: urgent %.3f, in goal %.3f, served %.3f", seed, share, goalShare(tallies), servedShare(tallies))
+	}
+}
+
+// newSpeedFleet returns a simulation of endpoints of three kinds.
+func newSpeedFleet(t testing.TB, seed uint64) *simulation {
+	sim := newSimulation(t, seed, 4, 28)
+	kinds := []struct {
+		label string
+		speed float64
+	}{{"slow", 0.6}, {"middle", 1}, {"fast", 1.6}}
+	for i, e := range sim.endpoints {
+		k := kinds[i/2%3] // both data centres have all kinds
+		e.info.Labels = append([]string{k.label}, e.info.Labels...)
+		e.slowdown, e.tailShare = 1/k.speed, 1.0/30
+	}
+	sim.listEndpoints()
+	sim.advance(2 * time.Second)
+	return sim
+}
+
+// TestPoisonJobs plays jobs whose tasks fail everywhere beside the users' mix of
+// jobs. No endpoint may be ejected for them.
+func TestPoisonJobs(t *testing.T) {
+	for _, every := range []time.Duration{400 * time.Millisecond, 50 * time.Millisecond} {
+		sim := startSimulation(t, 1, 4, 28)
+		end := sim.now.Add(20 * time.Second)
+		var poison func()
+		poison = func() {
+			if sim.now.After(end) {
+				return
+			}
+			c := sim.newJob(urgent, 2*time.Second, step(8, 20*time.Millisecond))
+			c.job.Spec = "fails"
+			sim.sendJob(c, sim.rng.IntN(4))
+			sim.after(every, poison)
+		}
+		poison()
+		tallies := sim.generateMixedLoad(20*time.Second, 0.5)
+		sim.advance(22 * time.Second)
+		logTallies(t, tallies)
+		ejected := sim.logged(event.EndpointEjected, "")
+		t.Logf("a poison job every %s: %d ejections, in goal %.3f", every, len(ejected), goalShare(tallies))
+		if len(ejected) > 0 {
+			t.Errorf("endpoints were ejected: %s", ejected)
+		}
+	}
+}
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
@@ -147,6 +149,8 @@
 
 		status    statusState
 		freeSlots freeSlotsState
+		judge     judge
+		profiles  profilesState
 	}
 )
 
@@ -173,6 +177,8 @@
 		offers:        map[uint64]*offer{},
 		typicalNeeds:  map[string]task.Needs{},
 		answerTimes:   newAnswerTimes(),
+		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
+		profiles:      newProfilesState(now),
 	}
 }
 
@@ -193,7 +199,7 @@
 			out.log(event.EndpointDraining, e.info.ID, "no longer in the platform's list")
 		}
 	}
-	m.forgetUnlisted(listed)
+	m.forgetUnlisted(now, listed)
 	m.sortEndpoints()
 	m.reassignNeeded = true
 	m.advance(now, out)
@@ -262,12 +268,12 @@
 
 // forgetUnlisted removes the endpoints that are neither listed nor running
 // anything.
-func (m *Machine) forgetUnlisted(listed map[string]bool) {
+func (m *Machine) forgetUnlisted(now time.Time, listed map[string]bool) {
 	for _, e := range m.sortedEndpoints {
 		if listed[e.info.ID] || len(e.runs) > 0 || e.polling {
 			continue
 		}
-		m.releaseEndpoint(e)
+		m.releaseEndpoint(now, e)
 		delete(m.endpoints, e.info.ID)
 	}
 }
@@ -307,6 +313,8 @@
 	m.expireOrphans(now)
 	m.expireReportedEnds(now)
 	m.runNumbers.expire(now)
+	m.maintainJudge(now, out)
+	m.broadcastProfiles(now, out)
 	m.reassignNeeded = true
 	for _, e := range slices.Clone(m.held) {
 		m.maintain(now, e, out)
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -69,6 +69,7 @@
 	m.status.newPeers = append(m.status.newPeers, info.Ref)
 	m.freeSlots.lastSent = message.FreeSlots{} // the new peer has received nothing
 	m.sendExpectedRuns(info.Ref, out)
+	m.introduceProfiles(now, p, out)
 	out.log(event.PeerJoined, info.ID, detail)
 	m.advance(now, out)
 }
@@ -249,7 +250,7 @@
 	case e.isHeld():
 		e.releasing = owner == another
 		if e.releasing && e.idle() {
-			m.releaseEndpoint(e)
+			m.releaseEndpoint(now, e)
 			m.holdings.addRelease(e)
 		}
 	}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -21,6 +21,11 @@
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
 	otherRackFactor = 3
+	// minScoredSpeed is the speed at which an endpoint counts whose speed is not
+	// known or implausible.
+	minScoredSpeed = 0.1
+	// minSuccessShare is the lowest share of successful runs that counts.
+	minSuccessShare = 0.05
 )
 
 // placeTasks assigns free slots to the most urgent tasks, whether they wait
@@ -67,6 +72,12 @@
 		if t.state != waiting {
 			continue
 		}
+		if m.waitsForReliable(now, t) {
+			if !m.placeReliably(now, t, out) {
+				rest = append(rest, t)
+			}
+			continue
+		}
 		if !m.placeTask(now, t, out) {
 			rest = append(rest, t)
 			all = false
@@ -87,14 +98,7 @@
 func (m *Machine) placeTask(now time.Time, t *homeTask, out *Output) bool {
 	s := m.startRequest(t)
 	if e := m.pickEndpoint(now, s); e != nil {
-		assignRun(t, &s)
-		t.holder = m.cfg.Self.Ref
-		t.endpoint = e.info.ID
-		if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
-			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
-			return true
-		}
-		m.startRun(now, e, m.cfg.Self.Ref, s, out)
+		m.placeHere(now, t, e, s, out)
 		return true
 	}
 	if t.job.Steps[t.step].Spread > 0 && m.hasUnknownEndpoint(t) {
@@ -108,6 +112,18 @@
 	return true
 }
 
+// placeHere starts the task on a held endpoint.
+func (m *Machine) placeHere(now time.Time, t *homeTask, e *endpointState, s message.StartRun, out *Output) {
+	assignRun(t, &s)
+	t.holder = m.cfg.Self.Ref
+	t.endpoint = e.info.ID
+	if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
+		m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
+		return
+	}
+	m.startRun(now, e, m.cfg.Self.Ref, s, out)
+}
+
 // placeOnPeer asks the peer to run the task.
 func (m *Machine) placeOnPeer(t *homeTask, p *peer, s message.StartRun, out *Output) {
 	assignRun(t, &s)
@@ -136,6 +152,7 @@
 		Requires: step.Requires,
 		Rack:     step.Rack,
 	}
+	s.Avoid = t.avoid
 	if step.Spread > 0 {
 		s.Avoid = saturatedEndpoints(j.steps[t.step], step.Spread)
 		s.NotifyStart = true // other tasks of the step need to know its endpoint
@@ -211,15 +228,13 @@
 		return false // a start would extend the lease
 	}
 	usable, probation := e.health.usable(now)
-	return usable && (!probation || len(e.runs) == 0)
+	judged, single := e.mayWork()
+	return usable && judged && (!probation && !single || len(e.runs)+e.reserved == 0)
 }
 
 // score ranks endpoints that can run a task; lower is better.
 func (e *endpointState) score(s message.StartRun) float64 {
-	slowdown := e.health.slowdown
-	if slowdown == 0 {
-		slowdown = 1
-	}
+	slowdown := 1 / (max(e.speed, minScoredSpeed) * max(1-e.failedShare, minSuccessShare))
 	if s.Rack != "" && e.info.Rack != s.Rack {
 		slowdown *= otherRackFactor
 	}
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -12,7 +12,7 @@
 // claim makes this instance the holder: it polls the endpoint with a higher
 // token than any it used before, without renewing the lease.
 func (m *Machine) claim(now time.Time, e *endpointState, out *Output) {
-	m.releaseEndpoint(e)
+	m.releaseEndpoint(now, e)
 	m.holdEndpoint(e, m.newToken(now, e))
 	m.recordClaim(e)
 	m.poll(now, e, out)
@@ -145,6 +145,9 @@
 		m.adoptNewBoot(now, e, out)
 	}
 	e.info.StartedAt = reply.StartedAt
+	if otherBoot && e.active {
+		m.judgeActivated(now, e, out)
+	}
 	e.ackedEnd = max(e.ackedEnd, min(reply.LastEnd, e.lastEnd))
 	if reply.Draining && !e.info.Draining {
 		e.info.Draining, e.reportedDraining = true, true
@@ -203,6 +206,7 @@
 	if !e.active && unknown == 0 {
 		e.active = true
 		e.activeAt = now
+		m.judgeActivated(now, e, out)
 		e.logAnswersAgain(now, out)
 	}
 	if unknown > 0 {
@@ -281,7 +285,7 @@
 	for _, r := range e.sortedRuns() {
 		m.reportRun(now, e, r, run.Unconfirmed, out)
 	}
-	m.releaseEndpoint(e)
+	m.releaseEndpoint(now, e)
 }
 
 // releaseEnded releases an endpoint whose earlier runs are all over, since it
@@ -295,7 +299,7 @@
 		}
 		m.concludeRun(now, e, r, run.Expired, endpointOver, out)
 	}
-	m.releaseEndpoint(e)
+	m.releaseEndpoint(now, e)
 	e.clock = clock{}
 	e.info.StartedAt = time.Time{}
 	e.claimAfter = now.Add(reclaimDelay)
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -33,6 +33,8 @@
 		m.handleRunUpdate(now, msg.From, b, out)
 	case message.Offer:
 		m.handleOffer(now, p, b, out)
+	case message.Profiles:
+		m.handleProfiles(now, p, b)
 	case message.Decline:
 		if o := m.offers[b.Number]; o != nil && o.peer == p.info.Ref {
 			m.removeOffer(b.Number)
@@ -85,8 +87,11 @@
 			continue
 		}
 		for i, t := range j.waiting {
+			if m.waitsForReliable(now, t) {
+				continue
+			}
 			s := m.startRequest(t)
-			if !fitsWithin(s.Needs, o.Needs) || len(s.Avoid) > 0 || s.Requires != "" {
+			if !fitsWithin(s.Needs, o.Needs) || j.Steps[t.step].Spread > 0 || s.Requires != "" {
 				continue
 			}
 			s.Offer = o.Number
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -13,7 +13,7 @@
 
 // startRun starts a run on an endpoint with enough free capacity.
 func (m *Machine) startRun(now time.Time, e *endpointState, home instance.Ref, s message.StartRun, out *Output) {
-	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, estimate: s.Estimate, sentAt: now, notifyStart: s.NotifyStart}
+	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, estimate: s.Estimate, queue: m.queueOf(s), sentAt: now, notifyStart: s.NotifyStart}
 	e.recordOrderSent(now)
 	e.runs[s.Run] = r
 	e.used = addScaled(e.used, s.Needs, 1)
@@ -46,7 +46,7 @@
 	case Accepted:
 		m.recordAnswer(now, e, reply.Reply)
 		r.startedAt = now
-		r.scheduleOverdue(now, e.health.slowdown)
+		r.scheduleOverdue(now, m.expectedRatio(e, r.queue))
 		e.health.recordStart()
 		m.reportRun(now, e, r, run.Started, out)
 		return
@@ -62,7 +62,7 @@
 	case Full:
 		e.health.recordFull(now)
 	case Unhealthy:
-		e.health.backOff(now)
+		e.health.recordRefusal(now)
 	}
 	m.recordAnswer(now, e, reply.Reply)
 	logStartRefused(r.ref, e, reply.Reply, out)
@@ -207,7 +207,7 @@
 		e.used = task.Needs{} // removes rounding errors
 	}
 	if !r.startedAt.IsZero() {
-		e.health.recordEnd(now, status, now.Sub(r.startedAt), r.estimate)
+		m.judgeEnd(now, e, r, status, out)
 	}
 	m.reportRun(now, e, r, status, out)
 }
--- a/pool/status.go
+++ b/pool/status.go
@@ -90,7 +90,8 @@
 
 // releaseEndpoint releases an endpoint and clears the state that only its
 // holder has.
-func (m *Machine) releaseEndpoint(e *endpointState) {
+func (m *Machine) releaseEndpoint(now time.Time, e *endpointState) {
+	m.judgeReleased(now, e)
 	e.reset()
 	if i := slices.Index(m.held, e); i >= 0 {
 		m.held = slices.Delete(m.held, i, i+1)
