pool: sparing compares slowdowns first; a window of 64 for speeds

Cause: TestLateStartOnNewBoot failed once pickSparing was in: of two endpoints of the same speed it took the more loaded one, which had just left a start unanswered. Change: slower first, then less loaded; none with an unanswered start; 64 samples.

--- a/endpoint/profile.go
+++ b/endpoint/profile.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// speedSamples is the window size for the speed samples of an endpoint. The
+	// tasks of a job share the error of their estimate, so that it has to span
+	// several jobs.
+	speedSamples = 64
 	// queueSamples is the window size for the run time ratios of a queue, and
 	// kindSamples that for those of a kind of endpoint.
 	queueSamples = 128
@@ -19,7 +23,7 @@
 	// priorWeight is the weight of the kind's speed, in samples, and
 	// maxInherited that of what an earlier holder has learnt.
 	priorWeight  = 6
-	maxInherited = endpointSamples
+	maxInherited = 32
 	// minProfileSpeed and maxProfileSpeed bound the learnt speed, and
 	// maxLogSample one sample of it. Three standard deviations of the kinds of
 	// endpoints and of their heat fit into the bounds.
@@ -92,7 +96,7 @@
 	if p.endpoints[info.ID] != nil {
 		return
 	}
-	s := &speedProfile{id: info.ID, kind: info.Kind(), ratios: newWindow(endpointSamples)}
+	s := &speedProfile{id: info.ID, kind: info.Kind(), ratios: newWindow(speedSamples)}
 	if samples > 0 && speed > 0 {
 		s.inherited, s.inheritedSamples = math.Log(boundSpeed(speed)), min(samples, maxInherited)
 	}
--- a/pool/expected_end.go
+++ b/pool/expected_end.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/message"
@@ -32,14 +33,14 @@
 	rest := longestChain(j.Steps) - s.Estimate
 	due := j.goal.Sub(now) - rest
 	var best *endpointState
-	slowest := 0.0
+	bestScore := math.Inf(-1)
 	for _, e := range m.held {
-		if !e.accepts(now, s) || e.unreliable() {
+		if !e.accepts(now, s) || e.unreliable() || e.health.unanswered > 0 {
 			continue
 		}
-		score := e.score(s)
-		if score > slowest && sparingMargin*score*float64(s.Estimate) <= float64(due) {
-			best, slowest = e, score
+		slowdown := e.slowdown(s)
+		if score := slowdown - loadWeight*e.load(); score > bestScore && sparingMargin*slowdown*float64(s.Estimate) <= float64(due) {
+			best, bestScore = e, score
 		}
 	}
 	return best
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -48,7 +48,6 @@
 		failedJobs map[string]*failedJob
 		// waitingSeenAt is when tasks last waited, here or at a peer.
 		waitingSeenAt time.Time
-		shortage      bool
 		out           endpoint.Output
 	}
 
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -238,15 +238,25 @@
 
 // score ranks endpoints that can run a task; lower is better.
 func (e *endpointState) score(s message.StartRun) float64 {
+	return e.slowdown(s) + loadWeight*e.load()
+}
+
+// load returns the share of the endpoint's cores that are used.
+func (e *endpointState) load() float64 {
+	if e.info.Size.Cores <= 0 {
+		return 0
+	}
+	return e.used.Cores / e.info.Size.Cores
+}
+
+// slowdown returns the expected time to success on the endpoint, divided by that
+// on a sound one of speed 1 in the rack of the data.
+func (e *endpointState) slowdown(s message.StartRun) float64 {
 	slowdown := 1 / (max(e.speed, minScoredSpeed) * max(1-e.failedShare, minSuccessShare))
 	if s.Rack != "" && e.info.Rack != s.Rack {
 		slowdown *= otherRackFactor
 	}
-	load := 0.0
-	if e.info.Size.Cores > 0 {
-		load = e.used.Cores / e.info.Size.Cores
-	}
-	return slowdown + loadWeight*load
+	return slowdown
 }
 
 // slots returns how many tasks of typical size the endpoint can run in total
