--- a/pool/expected_end.go
+++ b/pool/expected_end.go
@@ -34,12 +34,13 @@
 	due := j.goal.Sub(now) - rest
 	var best *endpointState
 	bestScore := math.Inf(-1)
+	sizes := m.sizesOf(s.Service)
 	for _, e := range m.held {
 		if !e.accepts(now, s) || e.unreliable() || e.health.unanswered > 0 {
 			continue
 		}
 		slowdown := e.slowdown(s)
-		if score := slowdown - loadWeight*e.load(); score > bestScore && sparingMargin*slowdown*float64(s.Estimate) <= float64(due) {
+		if score := slowdown - loadWeight*e.load() - e.fitCost(sizes, s); score > bestScore && sparingMargin*slowdown*float64(s.Estimate) <= float64(due) {
 			best, bestScore = e, score
 		}
 	}
