--- a/pool/profiles.go
+++ b/pool/profiles.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
@@ -23,6 +24,9 @@
 	// maxProfiles and maxQueueProfiles bound one message.
 	maxProfiles      = 128
 	maxQueueProfiles = 32
+	// maxQueueName is the longest name of a queue, in bytes, whose profile is
+	// sent; a message with a much longer name would be refused.
+	maxQueueName = 200
 	// profileTTL is how long a reported speed counts, and outcomesTTL how long
 	// reported failures do.
 	profileTTL  = 10 * time.Minute
@@ -222,14 +226,18 @@
 	return b
 }
 
+// queueProfiles returns the profiles of the queues with the most samples.
 func (m *Machine) queueProfiles() []message.QueueProfile {
 	var list []message.QueueProfile
-	names := m.judge.speeds.Queues()
-	for _, name := range names[:min(len(names), maxQueueProfiles)] {
+	for _, name := range m.judge.speeds.Queues() {
+		if len(name) > maxQueueName {
+			continue
+		}
 		median, tail, samples := m.judge.speeds.Ratios(name)
 		list = append(list, message.QueueProfile{Queue: name, Samples: samples, MedianRatio: median, TailRatio: tail})
 	}
-	return list
+	slices.SortStableFunc(list, func(a, b message.QueueProfile) int { return b.Samples - a.Samples })
+	return list[:min(len(list), maxQueueProfiles)]
 }
 
 // introduceProfiles sends a local peer that has just joined what is known of the
--- a/pool/profiles_test.go
+++ b/pool/profiles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -200,3 +201,22 @@
 		t.Logf("%d instances: %d messages each in 22 s", instances, sim.instances[0].machine.profiles.sentMessages)
 	}
 }
+
+// TestQueueProfilesAreBounded checks that a message has few queues, and none whose
+// name a peer would refuse.
+func TestQueueProfilesAreBounded(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(t, 1, 2, 8)
+	m := sim.instances[0].machine
+	id := m.held[0].info.ID
+	for i := range 2 * maxQueueProfiles {
+		for range 10 + i {
+			m.judge.speeds.Observe(id, strings.Repeat("q", 3*i+1), time.Millisecond, time.Millisecond)
+		}
+	}
+	list := m.queueProfiles()
+	is.Equal(len(list), maxQueueProfiles)
+	for _, q := range list {
+		is.True(len(q.Queue) <= maxQueueName)
+	}
+}
