--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -43,6 +43,9 @@
 		EndpointStates map[string]int
 		// ProfilesSent and ProfilesReceived count the messages with profiles.
 		ProfilesSent, ProfilesReceived int
+		// Evacuated are the data centres that are evacuated.
+		Evacuated []string
+		Peers     Peers
 	}
 
 	// runnerCollector turns a snapshot into metrics at each scrape.
@@ -114,4 +117,8 @@
 	dst.add(heldRuns, float64(s.Runs))
 	dst.add(profileMessages, float64(s.ProfilesSent), "sent")
 	dst.add(profileMessages, float64(s.ProfilesReceived), "received")
+	dst.addPeers(s.Peers)
+	for _, dc := range s.Evacuated {
+		dst.add(evacuatedDataCentres, 1, dc)
+	}
 }
--- a/metric/table.go
+++ b/metric/table.go
@@ -36,6 +36,7 @@
 	openJobs
 	heldRuns
 	profileMessages
+	evacuatedDataCentres
 	numMetrics
 )
 
@@ -104,4 +105,5 @@
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
 	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
+	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 }
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -259,7 +259,7 @@
 	step := t.job.Steps[t.step]
 	others := 0
 	for _, e := range m.sortedEndpoints {
-		suits := e.info.Service == t.job.Queue.Service && !e.info.Draining && fitsWithin(step.Needs, e.info.Size) &&
+		suits := e.info.Service == t.job.Queue.Service && !e.closed && !e.info.Draining && fitsWithin(step.Needs, e.info.Size) &&
 			(step.Requires == "" || slices.Contains(e.info.Labels, step.Requires))
 		if suits && !slices.Contains(avoid, e.info.ID) {
 			others++
--- a/pool/last_attempt.go
+++ b/pool/last_attempt.go
@@ -31,7 +31,7 @@
 	s := m.startRequest(t)
 	found, others := false, false
 	for _, e := range m.held {
-		if e.info.Service != s.Service || !e.active || e.releasing || e.info.Draining || e.usableSlots == 0 {
+		if e.info.Service != s.Service || !e.active || e.closed || e.releasing || e.info.Draining || e.usableSlots == 0 {
 			continue
 		}
 		if e.unreliable() {
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -17,6 +17,9 @@
 	// fitWeight makes the room that a task leaves for others decide between
 	// endpoints of similar slowdown.
 	fitWeight = 0.25
+	// unansweredPenalty makes an endpoint that left the last start unanswered come
+	// after others that are not much slower.
+	unansweredPenalty = 0.5
 	// otherRackFactor is how many times longer a task takes outside the rack
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
@@ -205,6 +208,9 @@
 			continue
 		}
 		score := e.score(s) + e.fitCost(sizes, s)
+		if e.health.unanswered > 0 {
+			score += unansweredPenalty // the task may be the one that was not answered
+		}
 		if score < bestScore {
 			best, bestScore = e, score
 		}
@@ -234,7 +240,7 @@
 
 // ready reports whether the endpoint may get work at all.
 func (e *endpointState) ready(now time.Time) bool {
-	if !e.active || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
+	if !e.active || e.closed || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
 	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -13,7 +13,7 @@
 
 // snapshot returns the values of the gauges for a scrape.
 func (r *Runner) snapshot() metric.RunnerSnapshot {
-	v := r.view.Load()
+	v, traffic := r.view.Load(), r.peers.Traffic()
 	return metric.RunnerSnapshot{
 		Ready:                r.ready(),
 		ConfigurationVersion: r.routes.Load().Version(),
@@ -24,5 +24,10 @@
 		EndpointStates:       map[string]int{openState: v.Active - v.Ejected, ejectedState: v.Ejected, claimedState: v.Held - v.Active},
 		ProfilesSent:         v.ProfilesSent,
 		ProfilesReceived:     v.ProfilesReceived,
+		Evacuated:            v.Evacuated,
+		Peers: metric.Peers{
+			SentMessages: traffic.SentMessages, ReceivedMessages: traffic.ReceivedMessages,
+			SentBytes: traffic.SentBytes, ReceivedBytes: traffic.ReceivedBytes,
+		},
 	}
 }
