--- a/pool/expected_end.go
+++ b/pool/expected_end.go
@@ -12,6 +12,11 @@
 // urgent jobs. Estimates are off by up to 40 %.
 const sparingMargin = 1.3
 
+// minSpared is how many times faster the fastest free endpoint must be so that it
+// is left to others: more than the error of the learnt speeds, and less than the
+// factor between kinds of endpoints.
+const minSpared = 1.25
+
 // moreUrgentArrive reports whether jobs of a more urgent priority arrive here.
 func (m *Machine) moreUrgentArrive(now time.Time, service string, priority int) bool {
 	for _, a := range m.arrivals {
@@ -33,16 +38,20 @@
 	rest := longestChain(j.Steps) - s.Estimate
 	due := j.goal.Sub(now) - rest
 	var best *endpointState
-	bestScore := math.Inf(-1)
+	bestScore, fastest := math.Inf(-1), math.Inf(1)
 	sizes := m.sizesOf(s.Service)
 	for _, e := range m.held {
 		if !e.accepts(now, s) || e.unreliable() || e.health.unanswered > 0 {
 			continue
 		}
 		slowdown := e.slowdown(s)
+		fastest = min(fastest, slowdown)
 		if score := slowdown - loadWeight*e.load() - e.fitCost(sizes, s); score > bestScore && sparingMargin*slowdown*float64(s.Estimate) <= float64(due) {
 			best, bestScore = e, score
 		}
 	}
+	if best == nil || best.slowdown(s) < minSpared*fastest {
+		return nil
+	}
 	return best
 }
