--- a/pool/expected_end.go
+++ b/pool/expected_end.go
@@ -41,7 +41,7 @@
 	bestScore, fastest := math.Inf(-1), math.Inf(1)
 	sizes := m.sizesOf(s.Service)
 	for _, e := range m.held {
-		if !e.accepts(now, s) || e.unreliable() || e.health.unanswered > 0 {
+		if !e.accepts(now, s) || e.unreliable() || e.lifetime.cold(now) || e.health.unanswered > 0 {
 			continue
 		}
 		slowdown := e.slowdown(s)
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -101,7 +101,7 @@
 		if f := m.judge.failedJobs[jobOfTask(r.ref.Task)]; f != nil {
 			f.done = true
 		}
-		m.judge.speeds.Observe(e.info.ID, r.queue, ran, r.estimate)
+		m.judge.speeds.Observe(e.info.ID, r.queue, ran, r.judgedEstimate())
 		e.speed, _ = m.judge.speeds.Speed(e.info.ID)
 		m.judge.tracker.Finished(now, e.info.ID, endpoint.Answered, ran, 0, endpoint.Load{}, &m.judge.out)
 	case run.Failed:
--- a/pool/judgement_test.go
+++ b/pool/judgement_test.go
@@ -91,11 +91,11 @@
 			sim.advance(5 * time.Second)
 			e := sim.endpoints[9]
 			e.fails, e.slowdown = true, 0.05
-			before := e.starts
+			before := e.startCount
 			sim.advance(time.Second)
-			first := e.starts - before
+			first := e.startCount - before
 			sim.advance(9 * time.Second)
-			runs := e.starts - before
+			runs := e.startCount - before
 			logTallies(t, tallies)
 			t.Logf("%d runs in the first second, %d in 10 s", first, runs)
 			if runs > tt.maxRuns {
@@ -225,7 +225,7 @@
 		sim.advance(2 * time.Second)
 		different := 0
 		for _, e := range sim.endpoints {
-			if e.starts > 0 {
+			if e.startCount > 0 {
 				different++
 			}
 		}
--- a/pool/last_attempt.go
+++ b/pool/last_attempt.go
@@ -50,8 +50,11 @@
 	var best *endpointState
 	bestScore := math.Inf(1)
 	for _, e := range m.held {
-		if !e.unreliable() && e.accepts(now, s) && e.score(s) < bestScore {
-			best, bestScore = e, e.score(s)
+		if e.unreliable() || !e.accepts(now, s) {
+			continue
+		}
+		if score := e.score(s) + e.coldScore(now, s); score < bestScore {
+			best, bestScore = e, score
 		}
 	}
 	if best == nil {
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -43,6 +43,10 @@
 		// capacities is the last capacity report received, at capacitiesAt.
 		capacities   []message.Capacity
 		capacitiesAt time.Time
+		// listedSlots is how many slots the listed endpoints that the peer holds
+		// have, by service, as counted at listedSlotsAt.
+		listedSlots   map[string]float64
+		listedSlotsAt time.Time
 		// lostAt is when the peer's stream ended; zero while it is open.
 		lostAt time.Time
 		// reconnected reports that the peer reconnected in time, so that the
@@ -110,7 +114,9 @@
 	m.lostPeers[ref] = p
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
-	m.removeOffersTo(ref)
+	m.removeOffersTo(now, ref)
+	m.shares.remove(ref)
+	p.clearShares()
 	out.wakeAt(now.Add(reconnectTimeout + time.Millisecond))
 	m.advance(now, out)
 }
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -105,6 +105,10 @@
 	if e == nil {
 		e = m.pickEndpoint(now, s)
 	}
+	if p := m.warmerPeer(now, e, s); p != nil {
+		m.placeOnPeer(t, p, s, out)
+		return true
+	}
 	if e != nil {
 		m.placeHere(now, t, e, s, out)
 		return true
@@ -207,7 +211,7 @@
 		if !e.accepts(now, s) {
 			continue
 		}
-		score := e.score(s) + e.fitCost(sizes, s)
+		score := e.score(s) + e.coldScore(now, s) + e.fitCost(sizes, s)
 		if e.health.unanswered > 0 {
 			score += unansweredPenalty // the task may be the one that was not answered
 		}
@@ -229,7 +233,7 @@
 	if !e.ready(now) || e.info.Service != s.Service {
 		return false
 	}
-	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots {
+	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
 		return false
 	}
 	if s.Requires != "" && !slices.Contains(e.info.Labels, s.Requires) || slices.Contains(s.Avoid, e.info.ID) {
@@ -280,7 +284,7 @@
 	if !e.ready(now) {
 		return 0, 0
 	}
-	return sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved)
+	return e.coldSlots(now, sizes, sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved))
 }
 
 // remaining returns the resources that are neither used nor reserved.
@@ -309,7 +313,7 @@
 		if e.info.Service != service || !e.ready(now) || len(e.runs)+e.reserved >= e.info.Slots {
 			continue
 		}
-		if remaining := e.remaining(); remaining.Cores > largest.Cores {
+		if remaining := e.coldRemaining(now); remaining.Cores > largest.Cores {
 			largest = remaining
 		}
 	}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -33,11 +33,13 @@
 	// simulation runs instances, endpoints and callers on a virtual clock. The
 	// observer checks what happens on its links.
 	simulation struct {
-		t         testing.TB
-		now       time.Time
-		events    eventHeap
-		sequence  int
-		rng       *rand.Rand
+		t        testing.TB
+		now      time.Time
+		events   eventHeap
+		sequence int
+		rng      *rand.Rand
+		// loadRNG draws the load, which is thus the same whatever the instances do.
+		loadRNG   *rand.Rand
 		instances []*fakeInstance
 		endpoints []*fakeEndpoint
 		// byRef has the instances by their current incarnation.
@@ -69,8 +71,13 @@
 		calls     map[uint64]*attempt
 		lastCall  uint64
 		lastJob   int
+		// onMessage may change a message on its way and returns how long it is
+		// delayed; nil for none.
+		onMessage func(msg *message.Message) time.Duration
 		// messages counts the messages between instances.
 		messages int
+		// reference has the jobs of the generated load.
+		reference referenceQueue
 		// log has the events of all instances.
 		log []event.Record
 	}
@@ -128,6 +135,12 @@
 
 // newFleet is like newSimulation for any number of data centres.
 func newFleet(t testing.TB, seed uint64, dataCentres, instances, endpoints int) *simulation {
+	return newFleetOfSize(t, seed, dataCentres, instances, endpoints, 0)
+}
+
+// newFleetOfSize is like newFleet for instances with that many cores; zero means
+// that it is not known.
+func newFleetOfSize(t testing.TB, seed uint64, dataCentres, instances, endpoints int, cores float64) *simulation {
 	sim := &simulation{
 		byRef:       map[instance.Ref]*fakeInstance{},
 		byID:        map[string]*fakeEndpoint{},
@@ -135,6 +148,7 @@
 		t:           t,
 		now:         time.Unix(1_800_000_000, 0),
 		rng:         rand.New(rand.NewPCG(seed, 1)),
+		loadRNG:     rand.New(rand.NewPCG(seed, 2)),
 		partitions:  map[[2]int]int{},
 		unreachable: map[[2]int]bool{},
 		calls:       map[uint64]*attempt{},
@@ -143,7 +157,8 @@
 	sim.observer = newObserver(sim)
 	for i := range instances {
 		sim.instances = append(sim.instances, &fakeInstance{index: i, self: instance.Info{
-			Ref: instance.Ref{DataCentre: sim.dataCentre(i), ID: fmt.Sprintf("n%d", i)},
+			Ref:   instance.Ref{DataCentre: sim.dataCentre(i), ID: fmt.Sprintf("n%d", i)},
+			Cores: cores,
 		}})
 	}
 	for i := range endpoints {
@@ -234,7 +249,7 @@
 	var list []endpoint.Info
 	for _, e := range sim.endpoints {
 		if e.up {
-			list = append(list, e.info)
+			list = append(list, e.listed())
 		}
 	}
 	return list
@@ -303,6 +318,7 @@
 		sim.handleAnswer(n, a)
 	}
 	for _, s := range out.Starts {
+		sim.observer.startSent(n, s)
 		sim.sendOrder(n, startOrder, s.Order, sim.transferStart(n), func(e *fakeEndpoint) Reply { return e.start(s) },
 			func(r Reply, m *Machine, out *Output) { m.HandleStartReply(sim.now, StartReply{r, s.Run}, out) })
 	}
@@ -364,7 +380,12 @@
 	}
 	sim.messages++
 	msg = sim.withoutEvacuations(msg, n, o)
-	sim.after(testOneWayDelay, func() {
+	msg.Body = received(msg.Body)
+	delay := testOneWayDelay
+	if sim.onMessage != nil {
+		delay += sim.onMessage(&msg)
+	}
+	sim.after(delay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
 		}
