--- a/pool/lifetime_test.go
+++ b/pool/lifetime_test.go
@@ -261,9 +261,9 @@
 	sim.listEndpoints()
 	sim.advance(4900 * time.Millisecond)
 	for _, e := range sim.endpoints {
-		h := holderOf(sim, e).machine.endpoints[e.info.ID].health
-		if h.backoffs > 0 || h.slowdown > 1.6 {
-			t.Errorf("%s has %d backoffs and a slowdown of %.2f", e.info.ID, h.backoffs, h.slowdown)
+		held := holderOf(sim, e).machine.endpoints[e.info.ID]
+		if held.health.backoffs > 0 || held.speed < 1/1.6 {
+			t.Errorf("%s has %d backoffs and a speed of %.2f", e.info.ID, held.health.backoffs, held.speed)
 		}
 	}
 	sim.advance(8 * time.Second)
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -21,11 +21,6 @@
 		ConfigurationVersion: r.routes.Load().Version(),
 		StoreReachable:       !r.listReads.lost(),
 		PeersLive:            len(v.Connected),
-		Jobs:                 v.Jobs,
-		Runs:                 v.Running,
-		EndpointStates:       map[string]int{openState: v.Active - v.Ejected, ejectedState: v.Ejected, claimedState: v.Held - v.Active},
-		ProfilesSent:         v.ProfilesSent,
-		ProfilesReceived:     v.ProfilesReceived,
 		Evacuated:            v.Evacuated,
 		Peers: metric.Peers{
 			SentMessages: traffic.SentMessages, ReceivedMessages: traffic.ReceivedMessages,
