--- a/metric/table.go
+++ b/metric/table.go
@@ -35,6 +35,7 @@
 	orders
 	openJobs
 	heldRuns
+	profileMessages
 	evacuatedDataCentres
 	offersSent
 	offersEnded
@@ -107,6 +108,7 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
 	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
 	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
