--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -381,11 +381,7 @@
 	sim.messages++
 	msg = sim.withoutEvacuations(msg, n, o)
 	msg.Body = received(msg.Body)
-	delay := testOneWayDelay
-	if sim.onMessage != nil {
-		delay += sim.onMessage(&msg)
-	}
-	sim.after(delay, func() {
+	sim.after(sim.delayOf(&msg), func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
 			return
 		}
