pool: tasks go to the fastest endpoint again, whoever arrives beside them

Cause: a job that more urgent ones arrive beside used the slowest endpoint on which it was expected to meet its goal. Conclusion: nothing shows that it is worth its time on the path of each task.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -101,10 +101,7 @@
 // placeTask places a task here or at a peer and reports whether it did.
 func (m *Machine) placeTask(now time.Time, t *homeTask, out *Output) bool {
 	s := m.startRequest(t)
-	e := m.pickSparing(now, t, s)
-	if e == nil {
-		e = m.pickEndpoint(now, s)
-	}
+	e := m.pickEndpoint(now, s)
 	if p := m.warmerPeer(now, e, s); p != nil {
 		m.placeOnPeer(t, p, s, out)
 		return true
