--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// minSendInterval is the minimum time between two messages of which the
-	// second one changes shares: a few one-way delays between data centres.
+	// minSendInterval is the minimum time between two messages if the second
+	// one has changes that peers wait for: a few one-way delays between data
+	// centres.
 	minSendInterval = 4 * time.Millisecond
+	// shareSendInterval is the same for changed shares: a one-way delay. A holder
+	// offers for a task that is gone until it hears of that.
+	shareSendInterval = time.Millisecond
 	// shiftSendInterval is the minimum time between two messages if the second
 	// one has changes that affect where peers place tasks, and
 	// minorSendInterval the same for changes that hardly do.
@@ -90,7 +94,7 @@
 	if len(recipients) == 0 {
 		return
 	}
-	m.freeSlots.nextAt = now.Add(m.sendInterval(len(recipients), minSendInterval, backlogCPUShare))
+	m.freeSlots.nextAt = now.Add(m.sendInterval(len(recipients), shareSendInterval, backlogCPUShare))
 	for _, p := range recipients {
 		m.send(p.info.Ref, m.withShares(v, p.info.Ref), out)
 		m.shares.sent(p.info.Ref)
