--- a/pool/cold.go
+++ b/pool/cold.go
@@ -24,7 +24,7 @@
 	r.cold = true
 	r.estimate = e.lifetime.runTime(now, r.work)
 	if !r.startedAt.IsZero() {
-		r.scheduleOverdue(r.startedAt, e.health.slowdown)
+		r.scheduleOverdue(r.startedAt, 1/max(e.speed, minScoredSpeed))
 	}
 }
 
--- a/pool/lifetime_test.go
+++ b/pool/lifetime_test.go
@@ -182,7 +182,7 @@
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 3, 6)
 	sim.advance(2 * time.Second)
-	c := sim.submit(0, &longQueue, 9*time.Second, step(12, 500*time.Millisecond))
+	sim.submit(0, &longQueue, 9*time.Second, step(12, 500*time.Millisecond))
 	sim.advance(100 * time.Millisecond)
 	e := sim.endpoints[0]
 	e.leaving.at = sim.now.Add(6 * time.Second) // the list does not say so
@@ -202,7 +202,6 @@
 	}
 	sim.advance(3 * time.Second)
 	is.Equal(e.startCount, starts)
-	_ = c
 }
 
 // holderOf returns the live instance that holds the endpoint, or nil.
@@ -261,9 +260,9 @@
 	sim.listEndpoints()
 	sim.advance(4900 * time.Millisecond)
 	for _, e := range sim.endpoints {
-		h := holderOf(sim, e).machine.endpoints[e.info.ID].health
-		if h.backoffs > 0 || h.slowdown > 1.6 {
-			t.Errorf("%s has %d backoffs and a slowdown of %.2f", e.info.ID, h.backoffs, h.slowdown)
+		held := holderOf(sim, e).machine.endpoints[e.info.ID]
+		if held.health.backoffs > 0 || held.speed < 1/1.6 {
+			t.Errorf("%s has %d backoffs and a speed of %.2f", e.info.ID, held.health.backoffs, held.speed)
 		}
 	}
 	sim.advance(8 * time.Second)
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -20,6 +20,9 @@
 	// Held and Active count the held endpoints and those without runs of an
 	// earlier holder. Running counts the runs on them.
 	Held, Active, Running int
+	// Ejected counts the held endpoints that get no work because their runs
+	// fail. ProfilesSent and ProfilesReceived count the messages with profiles.
+	Ejected, ProfilesSent, ProfilesReceived int
 	// Evacuated are the data centres whose endpoints get no work at an operator's
 	// request.
 	Evacuated []string
@@ -52,6 +55,7 @@
 		v.Running += len(e.runs)
 		v.countState(now, e)
 	}
+	v.ProfilesSent, v.ProfilesReceived = m.profiles.sentMessages, m.profiles.receivedMessages
 	for i, p := range m.sortedPeers {
 		v.Connected = append(v.Connected, p.info.Ref)
 		if p.info.DataCentre != m.cfg.Self.DataCentre {
@@ -75,6 +79,8 @@
 	switch {
 	case e.info.Draining:
 		v.Draining++
+	case e.usableSlots == 0:
+		v.Ejected++
 	case e.lifetime.cold(now):
 		v.Cold++
 	}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -4,12 +4,13 @@
 
 // The values of the state label of held endpoints. A claimed endpoint may still
 // have runs of an earlier holder; the others have none. A draining one gets no work,
-// a cold one less than an open one.
+// a cold one less than an open one, an ejected one none because its runs fail.
 const (
 	openState     = "open"
 	claimedState  = "claimed"
 	drainingState = "draining"
 	coldState     = "cold"
+	ejectedState  = "ejected"
 )
 
 // snapshot returns the values of the gauges for a scrape.
@@ -28,11 +29,14 @@
 		Jobs: v.Jobs,
 		Runs: v.Running,
 		EndpointStates: map[string]int{
-			openState: v.Active - v.Draining - v.Cold, claimedState: v.Held - v.Active, drainingState: v.Draining, coldState: v.Cold,
+			openState: v.Active - v.Draining - v.Ejected - v.Cold, claimedState: v.Held - v.Active,
+			drainingState: v.Draining, ejectedState: v.Ejected, coldState: v.Cold,
 		},
 		Offers: metric.Offers{
 			Sent: v.Offers.Sent, Taken: v.Offers.Taken, Declined: v.Offers.Declined, Expired: v.Offers.Expired,
 			Reserved: v.Offers.Reserved, SlotTime: v.Offers.SlotTime,
 		},
+		ProfilesSent:     v.ProfilesSent,
+		ProfilesReceived: v.ProfilesReceived,
 	}
 }
