--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -73,6 +73,10 @@
 		// onRefusal is called when a job is refused as not run; nil means it is
 		// not.
 		onRefusal func(*fault.Error)
+		// viewMessages counts the messages with views of data centres, and
+		// onViewMessage is called for each; nil means it is not.
+		viewMessages  int
+		onViewMessage func(from *fakeInstance)
 	}
 
 	fakeInstance struct {
@@ -81,6 +85,9 @@
 		self      instance.Info
 		alive     bool
 		suspended bool
+		// former makes it an instance of the former release, which does not know
+		// views of data centres.
+		former bool
 		// inbox has the inputs that arrived while the instance was suspended.
 		inbox []func()
 		wake  time.Time
@@ -360,6 +367,15 @@
 	if o == nil || !n.connected[o.index] {
 		return
 	}
+	if _, ok := msg.Body.(message.DataCentreViews); ok {
+		if n.former || o.former {
+			return
+		}
+		sim.viewMessages++
+		if sim.onViewMessage != nil {
+			sim.onViewMessage(n)
+		}
+	}
 	sim.messages++
 	sim.after(testOneWayDelay, func() {
 		if !n.connected[o.index] || sim.cutOff(n.index, o.index) || o.self.Ref != msg.To {
--- a/pool/views.go
+++ b/pool/views.go
@@ -21,7 +21,7 @@
 	// minViewPeriod is the shortest time between two reports or views: less than
 	// the wait that a job with a short goal can bear. reportRepeatPeriod is how
 	// often a report that has not changed is repeated.
-	minViewPeriod      = 50 * time.Millisecond
+	minViewPeriod      = 100 * time.Millisecond
 	reportRepeatPeriod = 500 * time.Millisecond
 	// ownReportTime is how long the own reports are kept, to tell what has
 	// changed here since a view was made.
