capacity, pool: a view with few reports is not preferred, the second merger stands in

Cause, seen in TestMergerSuspended: a merger that resumes has received few reports and its view (378 of 480 slots) went first by rank. Change: of views of about the same age, one that covers nine tenths of another's instances goes by rank; contacts take turns; the second merger sends only while the first one's views are missing or cover less; instances whose free slots a merger receives anyway send it no report.

--- a/capacity/table.go
+++ b/capacity/table.go
@@ -18,6 +18,10 @@
 	// older than that of another one and still be used, so that all instances use
 	// the same one: about a period.
 	preferenceMargin = 400 * time.Millisecond
+	// coverage is the share of the instances in one view that another one must
+	// include to be preferred to it. A merger that has just started or resumed has
+	// received few reports yet.
+	coverage = 0.9
 	// maxCapacities is the maximum number of services in a view, and maxMergers
 	// the maximum number of mergers of a data centre whose views are kept: two
 	// that merge, and two that are about to begin or to end.
@@ -114,7 +118,7 @@
 func validAmount(n float64) bool { return n >= 0 && n <= math.MaxInt32 }
 
 // Latest returns the view of a data centre to use: that of the preferred merger,
-// unless another one's is newer by more than a margin. prefers reports whether
+// unless another one's is newer by more than a margin or covers more. prefers reports whether
 // merger a comes before b. Views of several mergers are never added up.
 func (t *Table) Latest(now time.Time, dataCentre string, prefers func(a, b instance.Ref) bool) (View, bool) {
 	var best View
@@ -123,14 +127,30 @@
 		if now.Sub(v.MadeAt) > MaxViewAge {
 			continue
 		}
-		ahead := v.MadeAt.Sub(best.MadeAt)
-		if !found || ahead > preferenceMargin || ahead >= -preferenceMargin && prefers(v.Merger, best.Merger) {
+		if !found || v.replaces(best, prefers) {
 			best, found = v, true
 		}
 	}
 	return best, found
 }
 
+// replaces reports whether the view is to be used in place of o.
+func (v View) replaces(o View, prefers func(a, b instance.Ref) bool) bool {
+	switch ahead := v.MadeAt.Sub(o.MadeAt); {
+	case ahead > preferenceMargin || ahead < -preferenceMargin:
+		return ahead > 0
+	case v.Covers(o.Instances) != o.Covers(v.Instances):
+		return v.Covers(o.Instances)
+	}
+	return prefers(v.Merger, o.Merger)
+}
+
+// Covers reports whether the view includes about as many instances, or more.
+func (v View) Covers(instances int) bool { return float64(v.Instances) >= coverage*float64(instances) }
+
+// Stale reports whether another merger should stand in for the view's one.
+func (v View) Stale(now time.Time) bool { return v.Age(now) > preferenceMargin }
+
 // Age returns the age of a view.
 func (v View) Age(now time.Time) time.Duration { return max(now.Sub(v.MadeAt), 0) }
 
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -31,6 +31,10 @@
 		v.Age = age
 		return v
 	}
+	covering := func(v message.DataCentreView, instances int) message.DataCentreView {
+		v.Instances = instances
+		return v
+	}
 	tests := []struct {
 		name string
 		put  []message.DataCentreView
@@ -45,6 +49,8 @@
 		{"later incarnation", []message.DataCentreView{view("a", 1, 9, 10), view("a", 2, 1, 11)}, 11},
 		{"preferred one is a little older", []message.DataCentreView{aged(view("a", 1, 1, 10), preferenceMargin/2), view("b", 1, 1, 20)}, 10},
 		{"preferred one is much older", []message.DataCentreView{aged(view("a", 1, 1, 10), 2*preferenceMargin), view("b", 1, 1, 20)}, 20},
+		{"preferred one covers less", []message.DataCentreView{covering(view("a", 1, 1, 10), 2), view("b", 1, 1, 20)}, 20},
+		{"preferred one covers more", []message.DataCentreView{view("a", 1, 1, 10), covering(view("b", 1, 1, 20), 2)}, 10},
 		{"delayed too long", []message.DataCentreView{aged(view("a", 1, 1, 10), MaxViewAge+1)}, -1},
 	}
 	for _, tt := range tests {
--- a/pool/view_load.go
+++ b/pool/view_load.go
@@ -124,20 +124,20 @@
 	}
 	factor := max(float64(instances)/float64(len(reports)), 1)
 	if listed := m.listedSlotsIn(dc, service); listed > 0 {
-		factor = min(factor, max(float64(listed)/float64(c.Slots), 1))
+		factor = min(factor, max(listed/float64(c.Slots), 1))
 	}
 	sum := []message.Capacity{*c}
 	capacity.Scale(sum, factor)
 	return sum[0]
 }
 
-// listedSlotsIn returns how many tasks of typical size the listed endpoints of a
-// service in a data centre can run.
-func (m *Machine) listedSlotsIn(dc, service string) int {
-	total := 0
+// listedSlotsIn returns how many tasks the listed endpoints of a service in a data
+// centre are expected to run.
+func (m *Machine) listedSlotsIn(dc, service string) float64 {
+	sizes, total := m.sizesOf(service), 0.0
 	for _, e := range m.endpointsByDataCentre[dc] {
 		if e.info.Service == service && !e.info.Draining {
-			total += fittingTasks(m.typicalNeeds[service], e.info.Size, e.info.Slots)
+			total += sizes.fits(e.info.Size, e.info.Slots)
 		}
 	}
 	return total
--- a/pool/views.go
+++ b/pool/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -100,8 +101,9 @@
 	return max(minViewPeriod, time.Duration(float64(count)*float64(messageCost)/(viewCPUShare*size)))
 }
 
-// broadcastViews sends the own report to the mergers of this data centre and, if
-// this instance is one of them, the views that it knows.
+// broadcastViews sends the own report to the mergers of this data centre that do
+// not receive its free slots anyway and, if this instance is one of them, the
+// views that it knows.
 func (m *Machine) broadcastViews(now time.Time, out *Output) {
 	if !m.usesViews() {
 		return
@@ -112,7 +114,7 @@
 	}
 	m.views.dueAt = now.Add(minViewPeriod)
 	list, self := m.mergerPeers()
-	m.sendReport(now, list, out)
+	m.sendReport(now, slices.DeleteFunc(list, func(p *peer) bool { return slices.Contains(m.freeSlots.recipients, p) }), out)
 	if self {
 		m.sendViews(now, out)
 	}
@@ -179,7 +181,7 @@
 
 // sendViews adds up the reports of this data centre and sends its view to the
 // local peers, with the views of other data centres, and to a contact in each of
-// those.
+// those. The second merger does so only while the first one's views are missing.
 func (m *Machine) sendViews(now time.Time, out *Output) {
 	local := len(m.localPeers())
 	contacts := m.viewContacts()
@@ -188,12 +190,16 @@
 	}
 	m.views.mergedAt = now
 	own := m.mergeReports(now)
+	if v, ok := m.latestView(now, own.DataCentre); ok && v.Merger != own.Merger && !v.Stale(now) && v.Covers(own.Instances) && m.preferredMerger(v.Merger, own.Merger) {
+		return // this instance only stands in for the other one
+	}
 	if err := m.views.table.Put(now, own); err != nil {
 		return // the clock was set back, so that the next one is due later
 	}
 	body := message.DataCentreViews{Views: []message.DataCentreView{own}}
-	for _, p := range contacts {
-		m.send(p.info.Ref, body, out)
+	for _, dc := range slices.Sorted(maps.Keys(contacts)) {
+		list := contacts[dc]
+		m.send(list[int(m.views.sequence%uint64(len(list)))].info.Ref, body, out)
 	}
 	for _, dc := range m.neighbourhood.dataCentres {
 		if v, ok := m.latestView(now, dc); ok {
@@ -215,21 +221,17 @@
 	return m.sortedPeers[:n]
 }
 
-// viewContacts returns one connected peer in each other data centre, the one
-// that would be the first merger there.
-func (m *Machine) viewContacts() []*peer {
-	var list []*peer
+// viewContacts returns the connected peers in each other data centre. Each one
+// gets a view in turn, so that one that is slow or does not pass views on delays
+// only its part of them.
+func (m *Machine) viewContacts() map[string][]*peer {
+	contacts := map[string][]*peer{}
 	for _, p := range m.sortedPeers[len(m.localPeers()):] {
-		i := slices.IndexFunc(list, func(o *peer) bool { return o.info.DataCentre == p.info.DataCentre })
-		switch {
-		case !p.canHold():
-		case i < 0:
-			list = append(list, p)
-		case readsFirst(p.info, list[i].info):
-			list[i] = p
+		if p.canHold() {
+			contacts[p.info.DataCentre] = append(contacts[p.info.DataCentre], p)
 		}
 	}
-	return list
+	return contacts
 }
 
 // mergeReports returns the view of this data centre. The endpoints of peers that
@@ -238,11 +240,11 @@
 	own := m.ownFreeSlots(now).Capacities
 	m.recordOwnReport(now, own)
 	reports := []capacity.Report{{Capacities: own}}
-	missing := map[string]int{}
+	missing := map[string]float64{}
 	for _, p := range m.localPeers() {
 		r, ok := m.views.reports[p.info.Ref]
 		switch {
-		case ok:
+		case ok && !p.capacitiesAt.After(r.at):
 			reports = append(reports, capacity.Report{Capacities: r.capacities, Age: now.Sub(r.at)})
 		case len(p.capacities) > 0:
 			reports = append(reports, capacity.Report{Capacities: p.capacities, Age: now.Sub(p.capacitiesAt)})
@@ -253,7 +255,7 @@
 	merged := capacity.Merge(reports)
 	for i := range merged {
 		if c := &merged[i]; missing[c.Service] > 0 && c.Slots > 0 {
-			capacity.Scale(merged[i:i+1], 1+float64(missing[c.Service])/float64(c.Slots))
+			capacity.Scale(merged[i:i+1], 1+missing[c.Service]/float64(c.Slots))
 		}
 	}
 	m.views.sequence++
@@ -263,10 +265,10 @@
 }
 
 // addHeldSlots adds the slots of the endpoints that a peer holds, by service.
-func (m *Machine) addHeldSlots(p *peer, slots map[string]int) {
-	for id := range p.holds {
+func (m *Machine) addHeldSlots(p *peer, slots map[string]float64) {
+	for _, id := range p.status.Endpoints {
 		if e := m.endpoints[id]; e != nil && !e.info.Draining {
-			slots[e.info.Service] += fittingTasks(m.typicalNeeds[e.info.Service], e.info.Size, e.info.Slots)
+			slots[e.info.Service] += m.sizesOf(e.info.Service).fits(e.info.Size, e.info.Slots)
 		}
 	}
 }
--- a/pool/views_load_test.go
+++ b/pool/views_load_test.go
@@ -152,10 +152,13 @@
 	}
 }
 
-// newRegionalFleet returns 30 instances on machines of a fifth of a core in four
-// data centres.
+// newRegionalFleet returns instances on machines of a fifth of a core, but for the
+// largest eight, in four data centres, and endpoints of two slots.
 func newRegionalFleet(t *testing.T, instances, endpoints int) *simulation {
 	sim := newFleet(t, 1, 4, instances, endpoints)
+	for _, e := range sim.endpoints {
+		e.info.Slots = 2
+	}
 	for i, n := range sim.instances { // start again with these cores
 		n.self.Cores = 0.2
 		if i < 8 {
