--- a/pool/caller_test.go
+++ b/pool/caller_test.go
@@ -82,7 +82,7 @@
 	delete(sim.calls, a.Call)
 	sim.observer.jobAnswered(t.job, a.Fault)
 	if sim.onRefusal != nil && a.Fault != nil && a.Fault.Kind.Row().NotRun {
-		sim.onRefusal(a.Fault)
+		sim.onRefusal(t.job, a.Fault)
 	}
 	if a.Fault != nil && !a.Fault.Kind.Row().NotRun && a.Fault.Kind != fault.TaskFailed {
 		sim.retry(t.job, t.instance)
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -75,7 +75,7 @@
 		log []event.Record
 		// onRefusal is called when a job is refused as not run; nil means it is
 		// not.
-		onRefusal func(*fault.Error)
+		onRefusal func(*callerJob, *fault.Error)
 		// viewMessages counts the messages with views of data centres, and
 		// onViewMessage is called for each; nil means it is not.
 		viewMessages  int
--- a/pool/views_failures_test.go
+++ b/pool/views_failures_test.go
@@ -125,19 +125,7 @@
 	sim := newViewFleet(t)
 	inside := func(n *fakeInstance) bool { return n.self.DataCentre == "dc0" }
 	outside := func(n *fakeInstance) bool { return !inside(n) }
-	const cut = 6 * time.Second
-	for i, a := range sim.instances {
-		for k, b := range sim.instances {
-			if i < k && inside(a) != inside(b) {
-				sim.partitionInstances(i, k, cut)
-			}
-		}
-		for e, o := range sim.endpoints {
-			if inside(a) != (o.info.DataCentre == "dc0") {
-				sim.partitionEndpoint(i, e, cut)
-			}
-		}
-	}
+	sim.cutOffFirstDataCentre(6 * time.Second)
 	sim.advance(3 * time.Second)
 	sim.checkKnownSlots(2*time.Second, 0.75, 0.75, outside)
 	sim.checkKnownSlots(500*time.Millisecond, 0.25, 0.25, inside)
--- a/pool/views_load_test.go
+++ b/pool/views_load_test.go
@@ -21,6 +21,11 @@
 		// surge returns the factor by which more jobs of a queue come; nil means
 		// one.
 		surge func(elapsed time.Duration, queue string) float64
+		// retries makes refused callers come back when they are told to.
+		retries bool
+		// side returns the side of a partition on which a data centre is, and the
+		// share of all slots there; nil means that there is none.
+		side func(dataCentre int) (side int, slots float64)
 	}
 
 	// loadResult is what became of the jobs of a load.
@@ -31,6 +36,10 @@
 		// refusedBeside is how many were refused while at least a tenth of the
 		// slots was free.
 		refusedBeside int
+		// lastRefusal is when the last job was refused, and retried counts those
+		// that came back.
+		lastRefusal time.Duration
+		retried     int
 	}
 )
 
@@ -66,9 +75,21 @@
 	const maxFactor = 4 // above all factors
 	begin := sim.now
 	var res loadResult
-	var queued []queuedJob
+	queued := map[int][]queuedJob{} // by side
 	slots := 2 * len(sim.endpoints)
-	sim.onRefusal = func(f *fault.Error) {
+	if l.side == nil {
+		l.side = func(int) (int, float64) { return 0, 1 }
+	}
+	deadline := 2500 * time.Millisecond
+	if l.retries {
+		deadline = 10 * time.Second
+	}
+	sim.onRefusal = func(c *callerJob, f *fault.Error) {
+		res.lastRefusal = sim.now.Sub(begin)
+		if l.retries && sim.now.Add(f.RetryAfter).Before(c.job.Deadline) {
+			res.retried++
+			sim.after(f.RetryAfter, func() { sim.sendJob(c, sim.rng.IntN(len(sim.instances))) })
+		}
 		if f.Kind == fault.QueueFull || f.Kind == fault.DeadlineTooNear {
 			if sim.freeSlots() >= slots/10 {
 				res.refusedBeside++
@@ -92,12 +113,13 @@
 				if sim.rng.Float64() < l.factor(elapsed, dc, k.queue.Name)/maxFactor {
 					res.jobs++
 					estimate := time.Duration((0.6 + 0.8*sim.rng.Float64()) * float64(k.run))
-					c := sim.newJob(k.queue, 2500*time.Millisecond, step(k.tasks, estimate))
+					c := sim.newJob(k.queue, deadline, step(k.tasks, estimate))
 					c.tally, c.runTime = &tally{}, k.run
 					goal := k.queue.Goal(k.run)
 					c.goal = sim.now.Add(goal)
-					useful := min(lateFactor*goal, 2500*time.Millisecond-answerMargin)
-					queued = append(queued, queuedJob{arrival: elapsed, priority: k.queue.Priority, startBy: elapsed + useful - k.run, tasks: k.tasks, run: k.run})
+					useful := min(lateFactor*goal, deadline-answerMargin)
+					side, _ := l.side(dc)
+					queued[side] = append(queued[side], queuedJob{arrival: elapsed, priority: k.queue.Priority, startBy: elapsed + useful - k.run, tasks: k.tasks, run: k.run})
 					sim.sendJob(c, dc+sim.dataCentres*sim.rng.IntN((len(sim.instances)-dc-1)/sim.dataCentres+1))
 				}
 				sim.after(time.Duration(sim.rng.ExpFloat64()/(rate*maxFactor)*float64(time.Second)), next)
@@ -105,10 +127,18 @@
 			sim.after(time.Duration(sim.rng.ExpFloat64()/(rate*maxFactor)*float64(time.Second)), next)
 		}
 	}
-	sim.advance(d + 4*time.Second)
-	for _, refused := range oneQueueRefusals(queued, slots) {
-		if refused {
-			res.oneQueue++
+	sim.advance(d + deadline + 2*time.Second)
+	counted := map[int]bool{}
+	for dc := range sim.dataCentres {
+		side, share := l.side(dc)
+		if counted[side] {
+			continue
+		}
+		counted[side] = true
+		for _, refused := range oneQueueRefusals(queued[side], int(share*float64(slots))) {
+			if refused {
+				res.oneQueue++
+			}
 		}
 	}
 	for _, c := range sim.observer.jobs {
@@ -198,3 +228,81 @@
 	}
 	sim.runRegionalLoad(10*time.Second, regionalLoad{mean: 0.75, surge: surge}).check(t)
 }
+
+// TestDataCentreCutOffBesideBurst cuts a data centre off while a burst comes that
+// either side can serve alone.
+func TestDataCentreCutOffBesideBurst(t *testing.T) {
+	sim := newRegionalFleet(t, 30, 350)
+	sim.after(2*time.Second, func() { sim.cutOffFirstDataCentre(5 * time.Second) })
+	surge := func(elapsed time.Duration, _ string) float64 {
+		if elapsed > 3*time.Second && elapsed < 5*time.Second {
+			return 1.5
+		}
+		return 1
+	}
+	side := func(dc int) (int, float64) {
+		if dc == 0 {
+			return 0, 0.25
+		}
+		return 1, 0.75
+	}
+	sim.runRegionalLoad(10*time.Second, regionalLoad{mean: 0.55, surge: surge, side: side}).check(t)
+}
+
+// cutOffFirstDataCentre cuts dc0 off from all other data centres.
+func (sim *simulation) cutOffFirstDataCentre(d time.Duration) {
+	first := func(dataCentre string) bool { return dataCentre == "dc0" }
+	for i, a := range sim.instances {
+		for k, b := range sim.instances {
+			if i < k && first(a.self.DataCentre) != first(b.self.DataCentre) {
+				sim.partitionInstances(i, k, d)
+			}
+		}
+		for e, o := range sim.endpoints {
+			if first(a.self.DataCentre) != first(o.info.DataCentre) {
+				sim.partitionEndpoint(i, e, d)
+			}
+		}
+	}
+}
+
+// TestRefusedCallersComeBack has a burst of twice the usual jobs for two seconds,
+// of which a part must be refused. Refused callers come back when they are told
+// to. Their jobs are served in the end, and the refusals end soon after the
+// excess could have been served beside the usual jobs: 0.6 s of work in 0.3 of the
+// slots.
+func TestRefusedCallersComeBack(t *testing.T) {
+	sim := newRegionalFleet(t, 30, 350)
+	const burstEnd = 4 * time.Second
+	surge := func(elapsed time.Duration, _ string) float64 {
+		if elapsed > 2*time.Second && elapsed < burstEnd {
+			return 2
+		}
+		return 1
+	}
+	res := sim.runRegionalLoad(12*time.Second, regionalLoad{mean: 0.7, surge: surge, retries: true})
+	t.Logf("%d came back, the last refusal at %s", res.retried, res.lastRefusal)
+	if res.retried == 0 || res.lastRefusal > burstEnd+6*time.Second {
+		t.Errorf("%d refused jobs came back, the last refusal was at %s", res.retried, res.lastRefusal)
+	}
+	res.check(t)
+}
+
+// TestFullRestartWithRetries restarts all instances of an installation with views
+// under load. No view of an earlier incarnation is used, and a second later as
+// much is served as before.
+func TestFullRestartWithRetries(t *testing.T) {
+	sim := newRegionalFleet(t, 30, 350)
+	sim.after(2*time.Second, func() {
+		for i := range sim.instances {
+			sim.kill(i, false)
+		}
+	})
+	sim.after(3500*time.Millisecond, func() {
+		for i := range sim.instances {
+			sim.startInstance(i)
+		}
+	})
+	res := sim.runRegionalLoad(10*time.Second, regionalLoad{mean: 0.7, retries: true})
+	res.check(t)
+}
