--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -41,6 +41,21 @@
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
+		// Views are the views of data centres in use.
+		Views []DataCentreView
+	}
+
+	// DataCentreView is what the instance knows of the slots of a data centre.
+	DataCentreView struct {
+		DataCentre string
+		Age        time.Duration
+		Services   []ServiceSlots
+	}
+
+	// ServiceSlots are the numbers of slots of a service.
+	ServiceSlots struct {
+		Service     string
+		Slots, Free int
 	}
 
 	// runnerCollector turns a snapshot into metrics at each scrape.
@@ -110,4 +125,11 @@
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
 	dst.add(heldRuns, float64(s.Runs))
+	for _, v := range s.Views {
+		dst.add(viewAge, v.Age.Seconds(), v.DataCentre)
+		for _, c := range v.Services {
+			dst.add(viewSlots, float64(c.Slots), v.DataCentre, c.Service, "all")
+			dst.add(viewSlots, float64(c.Free), v.DataCentre, c.Service, "free")
+		}
+	}
 }
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -54,7 +54,9 @@
 // scrapeRunner returns the served metrics of a RunnerSet.
 func scrapeRunner(t *testing.T) string {
 	j := NewRunnerSet(func() RunnerSnapshot {
-		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4}}
+		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4}, Views: []DataCentreView{
+			{DataCentre: "dc0", Age: 500 * time.Millisecond, Services: []ServiceSlots{{Service: "s", Slots: 8, Free: 3}}},
+		}}
 	})
 	j.Answer("q", nil, time.Millisecond)
 	for _, k := range fault.Kinds() {
@@ -76,6 +78,9 @@
 		`lovagecrank_answer_seconds_count{outcome="complete",queue="q",reason=""} 1`,
 		`lovagecrank_open_jobs 2`,
 		`lovagecrank_held_runs 3`,
+		`lovagecrank_view_age_seconds{data_centre="dc0"} 0.5`,
+		`lovagecrank_view_slots{data_centre="dc0",service="s",state="all"} 8`,
+		`lovagecrank_view_slots{data_centre="dc0",service="s",state="free"} 3`,
 		`lovagecrank_endpoints{state="open"} 4`,
 		`lovagecrank_orders_total{order="start",verdict="accepted"} 1`,
 	} {
--- a/metric/table.go
+++ b/metric/table.go
@@ -35,6 +35,8 @@
 	orders
 	openJobs
 	heldRuns
+	viewAge
+	viewSlots
 	numMetrics
 )
 
@@ -102,4 +104,6 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	viewAge:              {"lovagecrank_view_age_seconds", gauge, "seconds", []string{"data_centre"}, "On the platform: the age of the view of a data centre by which jobs are admitted. It is missing if there is none, as in installations of up to 17 instances.", "If it exceeds 1, or is missing for one data centre, check the links to it and its two largest instances."},
+	viewSlots:            {"lovagecrank_view_slots", gauge, "slots", []string{"data_centre", "service", "state"}, "On the platform: slots of a data centre by that view, by state: all or free.", "If instances differ, see lovagecrank_view_age_seconds."},
 }
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/lovagecrank/lovagecrank/capacity"
 	"github.com/lovagecrank/lovagecrank/instance"
 )
 
@@ -26,6 +27,9 @@
 	// platform's list for the whole data centre.
 	Connected, LocalPeers []instance.Ref
 	ReaderRank            int
+	// DataCentres are the views of data centres in use, in the order of their
+	// names.
+	DataCentres []capacity.View
 }
 
 // View returns a snapshot of the machine.
@@ -53,6 +57,7 @@
 			v.ReaderRank++
 		}
 	}
+	v.DataCentres = m.viewsInUse(now)
 	v.Ready = !m.draining && (v.Active > 0 || m.peersHaveSlots())
 	return v
 }
--- a/pool/views.go
+++ b/pool/views.go
@@ -341,6 +341,17 @@
 	return m.views.table.Latest(now, dataCentre, m.preferredMerger)
 }
 
+// viewsInUse returns the latest views of all data centres.
+func (m *Machine) viewsInUse(now time.Time) []capacity.View {
+	var list []capacity.View
+	for _, dc := range slices.Sorted(slices.Values(append(slices.Clone(m.neighbourhood.dataCentres), m.cfg.Self.DataCentre))) {
+		if v, ok := m.latestView(now, dc); ok && m.usesViews() {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
 // preferredMerger reports whether merger a comes before b. Instances that are not
 // listed come last.
 func (m *Machine) preferredMerger(a, b instance.Ref) bool {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -1,6 +1,10 @@
 package runner
 
-import "github.com/lovagecrank/lovagecrank/metric"
+import (
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/metric"
+)
 
 // The values of the state label of held endpoints. A claimed endpoint may still
 // have runs of an earlier holder; an open one has none.
@@ -12,7 +16,7 @@
 // snapshot returns the values of the gauges for a scrape.
 func (r *Runner) snapshot() metric.RunnerSnapshot {
 	v := r.view.Load()
-	return metric.RunnerSnapshot{
+	s := metric.RunnerSnapshot{
 		Ready:                r.ready(),
 		ConfigurationVersion: r.routes.Load().Version(),
 		StoreReachable:       !r.listReads.lost(),
@@ -21,4 +25,12 @@
 		Runs:                 v.Running,
 		EndpointStates:       map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
 	}
+	for _, d := range v.DataCentres {
+		m := metric.DataCentreView{DataCentre: d.DataCentre, Age: d.Age(time.Now())}
+		for _, c := range d.Capacities {
+			m.Services = append(m.Services, metric.ServiceSlots{Service: c.Service, Slots: c.Slots, Free: c.Free})
+		}
+		s.Views = append(s.Views, m)
+	}
+	return s
 }
