capacity, pool: the second merger waits a period of the first one; views are used for 3 s

Change: the second merger waits for a period more; a view is used for 3 s, and that of a data centre that can't be reached not at all.

--- a/capacity/table.go
+++ b/capacity/table.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// MaxViewAge is the age beyond which a view is not used.
-	MaxViewAge = 2 * time.Second
+	// MaxViewAge is the age beyond which a view is not used: two periods of small
+	// mergers of a hundred instances, that of the view's own data centre and that
+	// of the one that it is passed on in.
+	MaxViewAge = 3 * time.Second
 	// preferenceMargin is by how much the view of the preferred merger may be
 	// older than that of another one and still be used, so that all instances use
-	// the same one: about a period.
+	// the same one: a few periods of a data centre with ten instances.
 	preferenceMargin = 400 * time.Millisecond
 	// coverage is the share of the instances in one view that another one must
 	// include to be preferred to it. A merger that has just started or resumed has
@@ -148,8 +150,11 @@
 // Covers reports whether the view includes about as many instances, or more.
 func (v View) Covers(instances int) bool { return float64(v.Instances) >= coverage*float64(instances) }
 
-// Stale reports whether another merger should stand in for the view's one.
-func (v View) Stale(now time.Time) bool { return v.Age(now) > preferenceMargin }
+// Stale reports whether another merger should stand in for the view's one, which
+// makes a view each period.
+func (v View) Stale(now time.Time, period time.Duration) bool {
+	return v.Age(now) > preferenceMargin+period
+}
 
 // Age returns the age of a view.
 func (v View) Age(now time.Time) time.Duration { return max(now.Sub(v.MadeAt), 0) }
--- a/pool/views.go
+++ b/pool/views.go
@@ -185,12 +185,13 @@
 func (m *Machine) sendViews(now time.Time, out *Output) {
 	local := len(m.localPeers())
 	contacts := m.viewContacts()
-	if now.Before(m.views.mergedAt.Add(viewInterval(local+len(contacts), m.cfg.Self.Size()))) {
+	period := viewInterval(local+len(contacts), m.cfg.Self.Size())
+	if now.Before(m.views.mergedAt.Add(period)) {
 		return
 	}
 	m.views.mergedAt = now
 	own := m.mergeReports(now)
-	if v, ok := m.latestView(now, own.DataCentre); ok && v.Merger != own.Merger && !v.Stale(now) && v.Covers(own.Instances) && m.preferredMerger(v.Merger, own.Merger) {
+	if v, ok := m.latestView(now, own.DataCentre); ok && v.Merger != own.Merger && !v.Stale(now, period) && v.Covers(own.Instances) && m.preferredMerger(v.Merger, own.Merger) {
 		return // this instance only stands in for the other one
 	}
 	if err := m.views.table.Put(now, own); err != nil {
@@ -336,8 +337,12 @@
 	}
 }
 
-// latestView returns the view of a data centre to use.
+// latestView returns the view of a data centre to use. A data centre that can't be
+// reached has none.
 func (m *Machine) latestView(now time.Time, dataCentre string) (capacity.View, bool) {
+	if dataCentre != m.cfg.Self.DataCentre && !m.reaches(dataCentre) {
+		return capacity.View{}, false
+	}
 	return m.views.table.Latest(now, dataCentre, m.preferredMerger)
 }
 
