pool: own changes are counted from the report that the view includes

An instance reports with its free slots to one merger and by itself to another, at different times. What had changed here since a view was taken from the later one, though the view's merger had only the earlier.

--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -73,7 +73,7 @@
 		return
 	}
 	m.freeSlots.lastSent, m.freeSlots.sentAt = v, now
-	m.recordOwnReport(now, v.Capacities)
+	m.recordOwnReport(now, withFreeSlots, v.Capacities)
 	m.clearFormerRecipients(m.recipients(), out)
 	m.freeSlots.recipients = m.recipients()
 	for _, p := range m.freeSlots.recipients {
--- a/pool/view_load.go
+++ b/pool/view_load.go
@@ -30,7 +30,7 @@
 	}
 	if v, ok := m.latestView(now, m.cfg.Self.DataCentre); ok {
 		add(v.Capacity(service), v.Age(now))
-		m.addOwnChanges(now, v.MadeAt, j, &l)
+		m.addOwnChanges(now, v, j, &l)
 	} else {
 		add(m.localCapacity(now, service), 0)
 	}
@@ -59,13 +59,14 @@
 
 // addOwnChanges adds what has changed at this instance since a view of its data
 // centre was made.
-func (m *Machine) addOwnChanges(now, madeAt time.Time, j *homeJob, l *load) {
+func (m *Machine) addOwnChanges(now time.Time, v capacity.View, j *homeJob, l *load) {
+	report, ok := m.ownReportIn(v)
+	if !ok {
+		return
+	}
 	service := j.Queue.Service
 	current := capacityOf(m.ownFreeSlots(now).Capacities, service)
-	var before *message.Capacity
-	if r, ok := m.ownReportAt(madeAt); ok {
-		before = capacityOf(r.capacities, service)
-	}
+	before := capacityOf(report.capacities, service)
 	var added, removed load
 	if current != nil {
 		added.slots, added.free = current.Slots, current.Free
--- a/pool/views.go
+++ b/pool/views.go
@@ -24,9 +24,6 @@
 	// often a report that has not changed is repeated.
 	minViewPeriod      = 100 * time.Millisecond
 	reportRepeatPeriod = 500 * time.Millisecond
-	// ownReportTime is how long the own reports are kept, to tell what has
-	// changed here since a view was made.
-	ownReportTime = capacity.MaxViewAge
 )
 
 type (
@@ -52,11 +49,6 @@
 		at         time.Time
 		sequence   uint64
 	}
-
-	ownReport struct {
-		at         time.Time
-		capacities []message.Capacity
-	}
 )
 
 // usesViews reports whether the installation is so large that an instance knows
@@ -135,7 +127,7 @@
 		return
 	}
 	m.views.lastReport, m.views.reportedAt = v, now
-	m.recordOwnReport(now, v.Capacities)
+	m.recordOwnReport(now, toMergers, v.Capacities)
 	m.views.sequence++
 	body := message.DataCentreViews{Views: []message.DataCentreView{{
 		DataCentre: m.cfg.Self.DataCentre, Merger: m.cfg.Self.Ref, Sequence: m.views.sequence, Instances: 1, Capacities: v.Capacities,
@@ -160,25 +152,6 @@
 	return false
 }
 
-// recordOwnReport keeps a report that was sent or merged now.
-func (m *Machine) recordOwnReport(now time.Time, capacities []message.Capacity) {
-	own := m.views.own
-	for len(own) > 1 && now.Sub(own[0].at) > ownReportTime {
-		own = own[1:]
-	}
-	m.views.own = append(own, ownReport{now, capacities})
-}
-
-// ownReportAt returns the last own report up to the given time.
-func (m *Machine) ownReportAt(at time.Time) (ownReport, bool) {
-	for _, r := range slices.Backward(m.views.own) {
-		if !r.at.After(at) {
-			return r, true
-		}
-	}
-	return ownReport{}, false
-}
-
 // sendViews adds up the reports of this data centre and sends its view to the
 // local peers, with the views of other data centres, and to a contact in each of
 // those. The second merger does so only while the first one's views are missing.
@@ -239,7 +212,7 @@
 // send no reports are assumed to be as busy as the others.
 func (m *Machine) mergeReports(now time.Time) message.DataCentreView {
 	own := m.ownFreeSlots(now).Capacities
-	m.recordOwnReport(now, own)
+	m.recordOwnReport(now, mergedHere, own)
 	reports := []capacity.Report{{Capacities: own}}
 	missing := map[string]float64{}
 	for _, p := range m.localPeers() {
