--- a/metric/table.go
+++ b/metric/table.go
@@ -35,6 +35,7 @@
 	orders
 	openJobs
 	heldRuns
+	evacuatedDataCentres
 	viewAge
 	viewSlots
 	numMetrics
@@ -104,6 +105,7 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 	viewAge:              {"lovagecrank_view_age_seconds", gauge, "seconds", []string{"data_centre"}, "On the platform: the age of the view of a data centre by which jobs are admitted. It is missing if there is none, as in installations of up to 17 instances.", "If it exceeds 1, or is missing for one data centre, check the links to it and its two largest instances."},
 	viewSlots:            {"lovagecrank_view_slots", gauge, "slots", []string{"data_centre", "service", "state"}, "On the platform: slots of a data centre by that view, by state: all or free.", "If instances differ, see lovagecrank_view_age_seconds."},
 }
--- a/pool/route_choice.go
+++ b/pool/route_choice.go
@@ -66,7 +66,7 @@
 // slot that is large enough, or nil.
 func (p *peer) freeCapacity(service string, needs task.Needs) *message.Capacity {
 	c := p.capacity(service)
-	if c == nil || c.Free <= 0 || p.status.Draining || !fitsWithin(needs, c.Largest) {
+	if c == nil || c.Free <= 0 || p.closed || p.status.Draining || !fitsWithin(needs, c.Largest) {
 		return nil
 	}
 	return c
--- a/pool/view_load.go
+++ b/pool/view_load.go
@@ -20,7 +20,10 @@
 	}
 	var drift capacity.Drift
 	mean := totalWork(j.Job) / time.Duration(max(j.unfinished, 1))
-	add := func(c message.Capacity, age time.Duration) {
+	add := func(dc string, c message.Capacity, age time.Duration) {
+		if m.evacuations.contains(dc) { // what waits there has to go elsewhere
+			c.Slots, c.Free = 0, 0
+		}
 		l.slots += c.Slots
 		l.free += c.Free
 		l.addBacklog(c.Backlog, j)
@@ -29,16 +32,16 @@
 		drift.Add(capacity.DriftOf(arrivalsAhead(c.Arrivals, j), c.Slots-c.Free, age, mean))
 	}
 	if v, ok := m.latestView(now, m.cfg.Self.DataCentre); ok {
-		add(v.Capacity(service), v.Age(now))
+		add(v.DataCentre, v.Capacity(service), v.Age(now))
 		m.addOwnChanges(now, v, j, &l)
 	} else {
-		add(m.localCapacity(now, service), 0)
+		add(m.cfg.Self.DataCentre, m.localCapacity(now, service), 0)
 	}
 	for _, dc := range m.neighbourhood.dataCentres {
 		if v, ok := m.latestView(now, dc); ok {
-			add(v.Capacity(service), v.Age(now))
+			add(dc, v.Capacity(service), v.Age(now))
 		} else if m.reaches(dc) {
-			add(m.reportedCapacity(now, dc, service), 0)
+			add(dc, m.reportedCapacity(now, dc, service), 0)
 		}
 	}
 	l.addDrift(drift, mean)
@@ -76,8 +79,10 @@
 		removed.slots, removed.free = before.Slots, before.Free
 		removed.addBacklog(before.Backlog, j)
 	}
-	l.slots = max(l.slots+added.slots-removed.slots, 0)
-	l.free = max(l.free+added.free-removed.free, 0)
+	if !m.evacuations.contains(m.cfg.Self.DataCentre) {
+		l.slots = max(l.slots+added.slots-removed.slots, 0)
+		l.free = max(l.free+added.free-removed.free, 0)
+	}
 	l.tasks = max(l.tasks+added.tasks-removed.tasks, 0)
 	l.work = max(l.work+added.work-removed.work, 0)
 }
--- a/pool/views.go
+++ b/pool/views.go
@@ -241,7 +241,7 @@
 // addHeldSlots adds the slots of the endpoints that a peer holds, by service.
 func (m *Machine) addHeldSlots(p *peer, slots map[string]float64) {
 	for _, id := range p.status.Endpoints {
-		if e := m.endpoints[id]; e != nil && !e.info.Draining {
+		if e := m.endpoints[id]; e != nil && !e.info.Draining && !m.evacuations.contains(e.info.DataCentre) {
 			slots[e.info.Service] += m.sizesOf(e.info.Service).fits(e.info.Size, e.info.Slots)
 		}
 	}
--- a/pool/views_failures_test.go
+++ b/pool/views_failures_test.go
@@ -133,6 +133,25 @@
 	sim.checkKnownSlots(time.Second, 1, 1, everyone)
 }
 
+// TestEvacuatedSlotsAreNotCounted checks that the slots of an evacuated data centre
+// leave admission at once and come back at once, inside it and outside.
+func TestEvacuatedSlotsAreNotCounted(t *testing.T) {
+	sim := newViewFleet(t)
+	evacuate := func(version uint64, dataCentres ...string) {
+		for _, n := range sim.instances {
+			sim.input(n, func(m *Machine, out *Output) {
+				m.SetEvacuations(sim.now, message.Evacuations{Version: version, DataCentres: dataCentres}, out)
+			})
+		}
+	}
+	evacuate(1000, "dc1")
+	sim.checkKnownSlots(time.Second, 0.75, 0.8, everyone)
+	evacuate(1001)
+	sim.checkKnownSlots(100*time.Millisecond, 0.75, 1, everyone)
+	sim.advance(500 * time.Millisecond)
+	sim.checkKnownSlots(time.Second, 1, 1, everyone)
+}
+
 // TestFormerRelease has instances of the former release, which neither send nor
 // understand views, as the mergers of a data centre or among the others.
 func TestFormerRelease(t *testing.T) {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -15,15 +15,20 @@
 
 // snapshot returns the values of the gauges for a scrape.
 func (r *Runner) snapshot() metric.RunnerSnapshot {
-	v := r.view.Load()
+	v, traffic := r.view.Load(), r.peers.Traffic()
 	s := metric.RunnerSnapshot{
 		Ready:                r.ready(),
 		ConfigurationVersion: r.routes.Load().Version(),
 		StoreReachable:       !r.listReads.lost(),
 		PeersLive:            len(v.Connected),
-		Jobs:                 v.Jobs,
-		Runs:                 v.Running,
-		EndpointStates:       map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
+		Evacuated:            v.Evacuated,
+		Peers: metric.Peers{
+			SentMessages: traffic.SentMessages, ReceivedMessages: traffic.ReceivedMessages,
+			SentBytes: traffic.SentBytes, ReceivedBytes: traffic.ReceivedBytes,
+		},
+		Jobs:           v.Jobs,
+		Runs:           v.Running,
+		EndpointStates: map[string]int{openState: v.Active, claimedState: v.Held - v.Active},
 	}
 	for _, d := range v.DataCentres {
 		m := metric.DataCentreView{DataCentre: d.DataCentre, Age: d.Age(time.Now())}
