pool: the time to come back follows the share of the work that arrives here

A home at which much arrives refuses more than others, so that its refusals times the number of instances would send its callers away for too long.

--- a/pool/retry_after.go
+++ b/pool/retry_after.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxRetrySpread is the longest time over which refused callers are told to
@@ -55,16 +58,18 @@
 }
 
 // retrySpread returns the time over which the refused jobs of the last second can
-// be served beside what arrives, if every instance refuses as much as this one.
+// be served beside what arrives, if other instances refuse as much of what arrives
+// there as this one.
 func (m *Machine) retrySpread(now time.Time, service string, l load) time.Duration {
 	if !m.usesViews() || l.slots == 0 {
 		return retryJitter
 	}
-	refused := 0.0
-	for _, r := range m.refusals.rates.rates(now, service) {
-		refused += r.Slots
+	refused := urgentSlots(m.refusals.rates.rates(now, service), math.MaxInt)
+	instances := float64(m.neighbourhood.total + 1)
+	if own := urgentSlots(m.arrivals.rates(now, service), math.MaxInt); own > 0 && l.arrivals > own {
+		instances = min(l.arrivals/own, instances)
 	}
-	refused *= float64(m.neighbourhood.total + 1)
+	refused *= instances
 	spare := max(float64(l.slots)-l.arrivals, minSpareShare*float64(l.slots))
 	spread := time.Duration(refused / spare * float64(arrivalWindow))
 	return min(max(spread, retryJitter), maxRetrySpread)
--- a/pool/retry_after_test.go
+++ b/pool/retry_after_test.go
@@ -20,13 +20,15 @@
 		name           string
 		refused        int // jobs of one second of work at each of 30 instances
 		slots          int
-		arrivals       float64
+		arrivals, own  float64 // slots that arriving work keeps busy, in all and here
 		atLeast, below time.Duration
 	}{
-		{"nothing refused", 0, 480, 400, retryJitter, retryJitter + 1},
-		{"little refused", 1, 480, 400, retryJitter, retryJitter + 1},
-		{"five seconds of room", 13, 480, 400, 4 * time.Second, 6 * time.Second},
-		{"no room", 5, 480, 600, maxRetrySpread, maxRetrySpread + 1},
+		{"nothing refused", 0, 480, 400, 0, retryJitter, retryJitter + 1},
+		{"little refused", 1, 480, 400, 0, retryJitter, retryJitter + 1},
+		{"five seconds of room", 13, 480, 400, 0, 4 * time.Second, 6 * time.Second},
+		{"the same, here as elsewhere", 13, 480, 400, 14, 4 * time.Second, 6 * time.Second},
+		{"the same, half of it arrives here", 13, 480, 400, 200, retryJitter, retryJitter + 1},
+		{"no room", 5, 480, 600, 0, maxRetrySpread, maxRetrySpread + 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -36,6 +38,7 @@
 			for i := range tt.refused {
 				m.refusals.add(sim.now, refusedJob(m, sim.now, fmt.Sprint(i)))
 			}
+			m.arrivals.add(sim.now, "s", 1, time.Duration(tt.own*float64(arrivalWindow)))
 			spread := m.retrySpread(sim.now, "s", load{slots: tt.slots, arrivals: tt.arrivals})
 			t.Log(spread)
 			is.True(spread >= tt.atLeast && spread < tt.below)
