--- a/pool/views.go
+++ b/pool/views.go
@@ -22,7 +22,7 @@
 	// minViewPeriod is the shortest time between two reports or views: less than
 	// the wait that a job with a short goal can bear. reportRepeatPeriod is how
 	// often a report that has not changed is repeated.
-	minViewPeriod      = 100 * time.Millisecond
+	minViewPeriod      = 150 * time.Millisecond
 	reportRepeatPeriod = 500 * time.Millisecond
 )
 
