--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -41,11 +41,14 @@
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
+		// ProfilesSent and ProfilesReceived count the messages with profiles.
+		ProfilesSent, ProfilesReceived int
 		// Evacuated are the data centres that are evacuated.
 		Evacuated []string
 		Peers     Peers
 		// Views are the views of data centres in use.
-		Views []DataCentreView
+		Views  []DataCentreView
+		Offers Offers
 	}
 
 	// DataCentreView is what the instance knows of the slots of a data centre.
@@ -61,6 +64,16 @@
 		Slots, Free int
 	}
 
+	// Offers counts the offers of slots that the instance has made to others.
+	Offers struct {
+		// Sent counts all offers. Taken led to a start, Declined were of no use
+		// to the other instance, and Expired were not answered in time.
+		Sent, Taken, Declined, Expired int
+		// Reserved is the total time for which slots were reserved by offers
+		// that have ended, and SlotTime that for which the instance had slots.
+		Reserved, SlotTime time.Duration
+	}
+
 	// runnerCollector turns a snapshot into metrics at each scrape.
 	runnerCollector struct {
 		read func() RunnerSnapshot
@@ -128,10 +141,18 @@
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
 	dst.add(heldRuns, float64(s.Runs))
+	dst.add(profileMessages, float64(s.ProfilesSent), "sent")
+	dst.add(profileMessages, float64(s.ProfilesReceived), "received")
 	dst.addPeers(s.Peers)
 	for _, dc := range s.Evacuated {
 		dst.add(evacuatedDataCentres, 1, dc)
 	}
+	dst.add(offersSent, float64(s.Offers.Sent))
+	dst.add(offersEnded, float64(s.Offers.Taken), "taken")
+	dst.add(offersEnded, float64(s.Offers.Declined), "declined")
+	dst.add(offersEnded, float64(s.Offers.Expired), "expired")
+	dst.add(offersReserved, s.Offers.Reserved.Seconds())
+	dst.add(slotTime, s.Offers.SlotTime.Seconds())
 	for _, v := range s.Views {
 		dst.add(viewAge, v.Age.Seconds(), v.DataCentre)
 		for _, c := range v.Services {
--- a/metric/table.go
+++ b/metric/table.go
@@ -35,7 +35,12 @@
 	orders
 	openJobs
 	heldRuns
+	profileMessages
 	evacuatedDataCentres
+	offersSent
+	offersEnded
+	offersReserved
+	slotTime
 	viewAge
 	viewSlots
 	numMetrics
@@ -105,7 +110,12 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
 	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
+	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
+	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
+	offersReserved:       {"lovagecrank_offer_reserved_seconds_total", counter, "seconds", nil, "On the platform: time for which slots were reserved by offers.", "If it exceeds 1 % of lovagecrank_slot_seconds_total while tasks wait, check the links between the instances."},
+	slotTime:             {"lovagecrank_slot_seconds_total", counter, "seconds", nil, "On the platform: time for which the endpoints that this instance holds had slots, counted in tasks of typical size and added up over the slots.", noAction},
 	viewAge:              {"lovagecrank_view_age_seconds", gauge, "seconds", []string{"data_centre"}, "On the platform: the age of the view of a data centre by which jobs are admitted. It is missing if there is none, as in installations of up to 17 instances.", "If it exceeds 1, or is missing for one data centre, check the links to it and its two largest instances."},
 	viewSlots:            {"lovagecrank_view_slots", gauge, "slots", []string{"data_centre", "service", "state"}, "On the platform: slots of a data centre by that view, by state: all or free.", "If instances differ, see lovagecrank_view_age_seconds."},
 }
--- a/pool/evacuation.go
+++ b/pool/evacuation.go
@@ -92,14 +92,14 @@
 		return
 	}
 	m.status.changed = true
-	m.closeEvacuated()
+	m.closeEvacuated(now)
 	m.logEvacuations(before, source, out)
 	m.refuseUnservable(now, out)
 }
 
 // closeEvacuated marks the endpoints and the peers that get no work, and withdraws
 // the offers of such endpoints.
-func (m *Machine) closeEvacuated() {
+func (m *Machine) closeEvacuated(now time.Time) {
 	for _, e := range m.sortedEndpoints {
 		e.closed = m.evacuations.closes(e.info.DataCentre)
 	}
@@ -108,7 +108,7 @@
 	}
 	for _, number := range m.offerNumbers() {
 		if m.offers[number].endpoint.closed {
-			m.removeOffer(number)
+			m.removeOffer(now, number, offerExpired)
 		}
 	}
 }
@@ -131,7 +131,7 @@
 func (m *Machine) expireEvacuationWait(now time.Time, out *Output) {
 	if v := &m.evacuations; !v.awaitedUntil.IsZero() && !now.Before(v.awaitedUntil) {
 		v.awaitedUntil = time.Time{}
-		m.closeEvacuated()
+		m.closeEvacuated(now)
 		out.log(event.EvacuationsUnknown, m.cfg.Self.ID, fmt.Sprintf("neither the store nor a peer has told them for %s", evacuationWait))
 	}
 }
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -23,8 +23,10 @@
 // offer is a slot reserved for a peer.
 type offer struct {
 	peer     instance.Ref
+	key      shareKey
 	endpoint *endpointState
 	needs    task.Needs
+	sentAt   time.Time
 	until    time.Time
 }
 
@@ -74,12 +76,13 @@
 			return
 		}
 		w.Tasks--
-		m.sendOffer(now, e, p, service, smaller(w.Needs, e.remaining()), out)
+		w.Share--
+		m.sendOffer(now, e, p, shareKey{service, w.Priority, w.Late}, smaller(w.Needs, e.remaining()), out)
 	}
 }
 
-// mostUrgentBacklog returns the most urgent backlog that the peers have
-// reported, of those with a task that may fit into the room.
+// mostUrgentBacklog returns the most urgent backlog of the peers of which this
+// instance has a share, of those with a task that may fit into the room.
 func (m *Machine) mostUrgentBacklog(now time.Time, service string, room task.Needs) (*peer, *message.WaitingTasks) {
 	var at *peer
 	var best *message.WaitingTasks
@@ -90,7 +93,7 @@
 		}
 		for i := range c.Backlog {
 			w := &c.Backlog[i]
-			if w.Tasks <= 0 || !fitsWithin(w.Smallest, room) {
+			if w.Share <= 0 || !fitsWithin(w.Smallest, room) {
 				continue
 			}
 			if best == nil || cmp.Or(compareBool(w.Late, best.Late), cmp.Compare(w.Priority, best.Priority), cmp.Compare(p.slack(now, w), at.slack(now, best))) < 0 {
@@ -113,24 +116,27 @@
 	return p.slack(now, w)+urgencyMargin < j.startBy.Sub(now)
 }
 
-func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, service string, needs task.Needs, out *Output) {
+func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, key shareKey, needs task.Needs, out *Output) {
 	m.lastOffer++
-	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, endpoint: e, needs: needs, until: now.Add(offerTTL)}
+	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, key: key, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
+	m.offerCounts.Sent++
 	e.used = addScaled(e.used, needs, 1)
 	e.reserved++
+	out.wakeAt(now.Add(offerTTL))
 	m.send(p.info.Ref, message.Offer{
-		Number: m.lastOffer, Service: service, Needs: needs,
+		Number: m.lastOffer, Service: key.service, Needs: needs,
 	}, out)
 }
 
-// removeOffer removes an offer and its reservation and returns its endpoint, or
-// nil if there is no such offer.
-func (m *Machine) removeOffer(number uint64) *endpointState {
+// removeOffer removes an offer that has ended and its reservation, and returns
+// its endpoint, or nil if there is no such offer.
+func (m *Machine) removeOffer(now time.Time, number uint64, end offerEnd) *endpointState {
 	o, ok := m.offers[number]
 	if !ok {
 		return nil
 	}
 	delete(m.offers, number)
+	m.offerCounts.countEnd(now, o, end)
 	if o.endpoint.reserved > 0 { // zero if the endpoint was released meanwhile
 		o.endpoint.reserved--
 		o.endpoint.used = addScaled(o.endpoint.used, o.needs, -1)
@@ -141,18 +147,23 @@
 // offerNumbers returns the numbers of the open offers in ascending order.
 func (m *Machine) offerNumbers() []uint64 { return slices.Sorted(maps.Keys(m.offers)) }
 
-func (m *Machine) expireOffers(now time.Time) {
+// expireOffers removes the offers that were not answered in time, and requests a
+// tick for the others.
+func (m *Machine) expireOffers(now time.Time, out *Output) {
 	for _, number := range m.offerNumbers() {
-		if o := m.offers[number]; !now.Before(o.until) {
-			m.removeOffer(number)
+		o := m.offers[number]
+		if now.Before(o.until) {
+			out.wakeAt(o.until)
+			continue
 		}
+		m.removeOffer(now, number, offerExpired)
 	}
 }
 
-func (m *Machine) removeOffersTo(ref instance.Ref) {
+func (m *Machine) removeOffersTo(now time.Time, ref instance.Ref) {
 	for _, number := range m.offerNumbers() {
 		if o := m.offers[number]; o.peer == ref {
-			m.removeOffer(number)
+			m.removeOffer(now, number, offerExpired)
 		}
 	}
 }
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -43,6 +43,10 @@
 		// capacities is the last capacity report received, at capacitiesAt.
 		capacities   []message.Capacity
 		capacitiesAt time.Time
+		// listedSlots is how many slots the listed endpoints that the peer holds
+		// have, by service, as counted at listedSlotsAt.
+		listedSlots   map[string]float64
+		listedSlotsAt time.Time
 		// lostAt is when the peer's stream ended; zero while it is open.
 		lostAt time.Time
 		// reconnected reports that the peer reconnected in time, so that the
@@ -72,6 +76,7 @@
 	m.status.newPeers = append(m.status.newPeers, info.Ref)
 	m.freeSlots.lastSent = message.FreeSlots{} // the new peer has received nothing
 	m.sendExpectedRuns(info.Ref, out)
+	m.introduceProfiles(now, p, out)
 	out.log(event.PeerJoined, info.ID, detail)
 	m.advance(now, out)
 }
@@ -109,7 +114,9 @@
 	m.lostPeers[ref] = p
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
-	m.removeOffersTo(ref)
+	m.removeOffersTo(now, ref)
+	m.shares.remove(ref)
+	p.clearShares()
 	out.wakeAt(now.Add(reconnectTimeout + time.Millisecond))
 	m.advance(now, out)
 }
@@ -252,7 +259,7 @@
 	case e.isHeld():
 		e.releasing = owner == another
 		if e.releasing && e.idle() {
-			m.releaseEndpoint(e)
+			m.releaseEndpoint(now, e)
 			m.holdings.addRelease(e)
 		}
 	}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -24,6 +24,11 @@
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
 	otherRackFactor = 3
+	// minScoredSpeed is the speed at which an endpoint counts whose speed is not
+	// known or implausible.
+	minScoredSpeed = 0.1
+	// minSuccessShare is the lowest share of successful runs that counts.
+	minSuccessShare = 0.05
 )
 
 // placeTasks assigns free slots to the most urgent tasks, whether they wait
@@ -73,11 +78,17 @@
 			rest = append(rest, t)
 			continue
 		}
+		if m.waitsForReliable(now, t) {
+			if !m.placeReliably(now, t, out) {
+				rest = append(rest, t)
+			}
+			continue
+		}
 		if m.placeTask(now, t, out) {
 			continue
 		}
 		rest = append(rest, t)
-		if step.Spread == 0 && step.Requires == "" { // else it may be too large for some endpoints only
+		if step.Spread == 0 && step.Requires == "" && len(t.avoid) == 0 { // else it may be too large for some endpoints only
 			blocked.add(j.Queue.Service, step.Needs)
 		}
 	}
@@ -90,15 +101,16 @@
 // placeTask places a task here or at a peer and reports whether it did.
 func (m *Machine) placeTask(now time.Time, t *homeTask, out *Output) bool {
 	s := m.startRequest(t)
-	if e := m.pickEndpoint(now, s); e != nil {
-		assignRun(t, &s)
-		t.holder = m.cfg.Self.Ref
-		t.endpoint = e.info.ID
-		if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
-			m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
-			return true
-		}
-		m.startRun(now, e, m.cfg.Self.Ref, s, out)
+	e := m.pickSparing(now, t, s)
+	if e == nil {
+		e = m.pickEndpoint(now, s)
+	}
+	if p := m.warmerPeer(now, e, s); p != nil {
+		m.placeOnPeer(t, p, s, out)
+		return true
+	}
+	if e != nil {
+		m.placeHere(now, t, e, s, out)
 		return true
 	}
 	if t.job.Steps[t.step].Spread > 0 && m.hasUnknownEndpoint(t) {
@@ -112,6 +124,18 @@
 	return true
 }
 
+// placeHere starts the task on a held endpoint.
+func (m *Machine) placeHere(now time.Time, t *homeTask, e *endpointState, s message.StartRun, out *Output) {
+	assignRun(t, &s)
+	t.holder = m.cfg.Self.Ref
+	t.endpoint = e.info.ID
+	if m.hasRunOfOtherHome(t.name, m.cfg.Self.Ref) {
+		m.markUnconfirmed(t, now.Add(m.maxLeaseDuration()))
+		return
+	}
+	m.startRun(now, e, m.cfg.Self.Ref, s, out)
+}
+
 // placeOnPeer asks the peer to run the task.
 func (m *Machine) placeOnPeer(t *homeTask, p *peer, s message.StartRun, out *Output) {
 	assignRun(t, &s)
@@ -140,6 +164,7 @@
 		Requires: step.Requires,
 		Rack:     step.Rack,
 	}
+	s.Avoid = t.avoid
 	if step.Spread > 0 {
 		s.Avoid = saturatedEndpoints(j.steps[t.step], step.Spread)
 		s.NotifyStart = true // other tasks of the step need to know its endpoint
@@ -186,7 +211,7 @@
 		if !e.accepts(now, s) {
 			continue
 		}
-		score := e.score(s) + fitWeight*sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
+		score := e.score(s) + e.coldScore(now, s) + e.fitCost(sizes, s)
 		if e.health.unanswered > 0 {
 			score += unansweredPenalty // the task may be the one that was not answered
 		}
@@ -197,12 +222,18 @@
 	return best
 }
 
+// fitCost returns how much a task on the endpoint counts for the room of other
+// tasks that it takes.
+func (e *endpointState) fitCost(sizes taskSizes, s message.StartRun) float64 {
+	return fitWeight * sizes.displaced(e.remaining(), s.Needs, e.info.Slots-len(e.runs)-e.reserved)
+}
+
 // accepts reports whether the endpoint can run the task now.
 func (e *endpointState) accepts(now time.Time, s message.StartRun) bool {
 	if !e.ready(now) || e.info.Service != s.Service {
 		return false
 	}
-	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots {
+	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
 		return false
 	}
 	if s.Requires != "" && !slices.Contains(e.info.Labels, s.Requires) || slices.Contains(s.Avoid, e.info.ID) {
@@ -220,23 +251,31 @@
 		return false // a start would extend the lease
 	}
 	usable, probation := e.health.usable(now)
-	return usable && (!probation || len(e.runs) == 0)
+	judged, single := e.mayWork()
+	return usable && judged && (!probation && !single || len(e.runs)+e.reserved == 0)
 }
 
 // score ranks endpoints that can run a task; lower is better.
 func (e *endpointState) score(s message.StartRun) float64 {
-	slowdown := e.health.slowdown
-	if slowdown == 0 {
-		slowdown = 1
+	return e.slowdown(s) + loadWeight*e.load()
+}
+
+// load returns the share of the endpoint's cores that are used.
+func (e *endpointState) load() float64 {
+	if e.info.Size.Cores <= 0 {
+		return 0
 	}
+	return e.used.Cores / e.info.Size.Cores
+}
+
+// slowdown returns the expected time to success on the endpoint, divided by that
+// on a sound one of speed 1 in the rack of the data.
+func (e *endpointState) slowdown(s message.StartRun) float64 {
+	slowdown := 1 / (max(e.speed, minScoredSpeed) * max(1-e.failedShare, minSuccessShare))
 	if s.Rack != "" && e.info.Rack != s.Rack {
 		slowdown *= otherRackFactor
 	}
-	load := 0.0
-	if e.info.Size.Cores > 0 {
-		load = e.used.Cores / e.info.Size.Cores
-	}
-	return slowdown + loadWeight*load
+	return slowdown
 }
 
 // slots returns how many tasks of the given sizes the endpoint is expected to run
@@ -245,7 +284,7 @@
 	if !e.ready(now) {
 		return 0, 0
 	}
-	return sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved)
+	return e.coldSlots(now, sizes, sizes.fits(e.info.Size, e.info.Slots), sizes.fits(e.remaining(), e.info.Slots-len(e.runs)-e.reserved))
 }
 
 // remaining returns the resources that are neither used nor reserved.
@@ -274,7 +313,7 @@
 		if e.info.Service != service || !e.ready(now) || len(e.runs)+e.reserved >= e.info.Slots {
 			continue
 		}
-		if remaining := e.remaining(); remaining.Cores > largest.Cores {
+		if remaining := e.coldRemaining(now); remaining.Cores > largest.Cores {
 			largest = remaining
 		}
 	}
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -22,7 +22,7 @@
 		m.handleStatus(p, b)
 		m.handlePeerEvacuations(now, p, b.Evacuations, out)
 	case message.FreeSlots:
-		p.handleFreeSlots(now, b)
+		m.handleFreeSlots(now, p, b)
 	case message.DataCentreViews:
 		m.handleViews(now, p, b, out)
 	case message.StartRun:
@@ -36,9 +36,11 @@
 		m.handleRunUpdate(now, msg.From, b, out)
 	case message.Offer:
 		m.handleOffer(now, p, b, out)
+	case message.Profiles:
+		m.handleProfiles(now, p, b)
 	case message.Decline:
 		if o := m.offers[b.Number]; o != nil && o.peer == p.info.Ref {
-			m.removeOffer(b.Number)
+			m.removeOffer(now, b.Number, offerDeclined)
 		}
 	}
 	m.advance(now, out)
@@ -58,11 +60,13 @@
 // startForPeer starts a task for a peer, or reports at once that it was not
 // run.
 func (m *Machine) startForPeer(now time.Time, p *peer, s message.StartRun, out *Output) {
-	m.countSize(s.Service, s.Needs, 1)
+	if s.Run.Number == 1 { // a task that is larger than the slot found for it is sent again
+		m.countSize(s.Service, s.Needs, 1)
+	}
 	var e *endpointState
 	if s.Offer != 0 {
 		if o := m.offers[s.Offer]; o != nil && o.peer == p.info.Ref {
-			e = m.removeOffer(s.Offer)
+			e = m.removeOffer(now, s.Offer, offerTaken)
 		}
 	}
 	if e == nil || !e.accepts(now, s) {
@@ -89,11 +93,15 @@
 			continue
 		}
 		for i, t := range j.waiting {
+			if m.waitsForReliable(now, t) {
+				continue
+			}
 			s := m.startRequest(t)
-			if !fitsWithin(s.Needs, o.Needs) || len(s.Avoid) > 0 || s.Requires != "" {
+			if !fitsWithin(s.Needs, o.Needs) || j.Steps[t.step].Spread > 0 || s.Requires != "" {
 				continue
 			}
 			s.Offer = o.Number
+			m.shares.offered(now, o.Service, p.info.Ref, true)
 			j.waiting = slices.Delete(j.waiting, i, i+1)
 			m.placeOnPeer(t, p, s, out)
 			if len(j.waiting) == 0 {
@@ -102,6 +110,7 @@
 			return
 		}
 	}
+	m.shares.offered(now, o.Service, p.info.Ref, false)
 	m.send(p.info.Ref, message.Decline{Number: o.Number}, out)
 }
 
--- a/pool/retry_after.go
+++ b/pool/retry_after.go
@@ -13,9 +13,9 @@
 	// refused jobs in any case.
 	minSpareShare = 0.05
 	// refusalMemory is how long a refused job is recognised when it comes again,
-	// and maxRefusals how many of them are.
+	// and maxRefusedJobs how many of them are.
 	refusalMemory = maxRetrySpread + 4*time.Second
-	maxRefusals   = 4096
+	maxRefusedJobs   = 4096
 )
 
 // refusals are the jobs that were refused for lack of capacity.
@@ -35,7 +35,7 @@
 		return
 	}
 	r.rates.add(now, j.Queue.Service, j.Queue.Priority, totalWork(j.Job))
-	if len(r.order) >= maxRefusals {
+	if len(r.order) >= maxRefusedJobs {
 		delete(r.byJob, r.order[0])
 		r.order = r.order[1:]
 	}
--- a/pool/views.go
+++ b/pool/views.go
@@ -145,7 +145,7 @@
 	}
 	for i, c := range v.Capacities {
 		o := sent.Capacities[i]
-		if c.Service != o.Service || c.Slots != o.Slots || c.Free != o.Free || backlogGrew(c.Backlog, o.Backlog) || backlogShrank(c.Backlog, o.Backlog) {
+		if c.Service != o.Service || c.Slots != o.Slots || c.Free != o.Free || backlogShifted(c.Backlog, o.Backlog, 0) || backlogShifted(o.Backlog, c.Backlog, 0) {
 			return true
 		}
 	}
@@ -187,14 +187,6 @@
 	}
 }
 
-func (m *Machine) localPeers() []*peer {
-	n := 0
-	for n < len(m.sortedPeers) && m.sortedPeers[n].info.DataCentre == m.cfg.Self.DataCentre {
-		n++
-	}
-	return m.sortedPeers[:n]
-}
-
 // viewContacts returns the connected peers in each other data centre. Each one
 // gets a view in turn, so that one that is slow or does not pass views on delays
 // only its part of them.
