--- a/pool/retry_after.go
+++ b/pool/retry_after.go
@@ -14,8 +14,8 @@
 	minSpareShare = 0.05
 	// refusalMemory is how long a refused job is recognised when it comes again,
 	// and maxRefusedJobs how many of them are.
-	refusalMemory = maxRetrySpread + 4*time.Second
-	maxRefusedJobs   = 4096
+	refusalMemory  = maxRetrySpread + 4*time.Second
+	maxRefusedJobs = 4096
 )
 
 // refusals are the jobs that were refused for lack of capacity.
