--- a/event/table.go
+++ b/event/table.go
@@ -54,6 +54,7 @@
 	EndpointLeft
 	EndpointsReplaced
 	RemainingTimeInvalid
+	ViewInvalid
 	numKinds
 )
 
@@ -111,6 +112,7 @@
 	EndpointLeft:         row("LC2081", catalogue.Info, "Endpoint left", "An endpoint that was draining no longer answers and has no runs any more. The log gives how many runs ended with it.", "If many runs end with their endpoints, give a longer notice before endpoints are taken away."),
 	EndpointsReplaced:    row("LC2082", catalogue.Info, "Endpoints replaced", "Many endpoints of a service drain or are new within a short time. The line has their numbers and stands for one line each.", "No action is needed if this was planned."),
 	RemainingTimeInvalid: row("LC2083", catalogue.Warning, "Remaining time is invalid", "A draining endpoint reported a remaining time that cannot be right. It is ignored; the endpoint gets no new work.", "Check the endpoint that the log names."),
+	ViewInvalid:          row("LC2084", catalogue.Warning, "View of a data centre is invalid", "A peer sent a view or a report of capacity that can't be true. It is ignored; the log gives the reason.", "Check the release of the instance that the log names."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -46,7 +46,22 @@
 		// Evacuated are the data centres that are evacuated.
 		Evacuated []string
 		Peers     Peers
-		Offers    Offers
+		// Views are the views of data centres in use.
+		Views  []DataCentreView
+		Offers Offers
+	}
+
+	// DataCentreView is what the instance knows of the slots of a data centre.
+	DataCentreView struct {
+		DataCentre string
+		Age        time.Duration
+		Services   []ServiceSlots
+	}
+
+	// ServiceSlots are the numbers of slots of a service.
+	ServiceSlots struct {
+		Service     string
+		Slots, Free int
 	}
 
 	// Offers counts the offers of slots that the instance has made to others.
@@ -138,4 +153,11 @@
 	dst.add(offersEnded, float64(s.Offers.Expired), "expired")
 	dst.add(offersReserved, s.Offers.Reserved.Seconds())
 	dst.add(slotTime, s.Offers.SlotTime.Seconds())
+	for _, v := range s.Views {
+		dst.add(viewAge, v.Age.Seconds(), v.DataCentre)
+		for _, c := range v.Services {
+			dst.add(viewSlots, float64(c.Slots), v.DataCentre, c.Service, "all")
+			dst.add(viewSlots, float64(c.Free), v.DataCentre, c.Service, "free")
+		}
+	}
 }
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -55,7 +55,9 @@
 func scrapeRunner(t *testing.T) string {
 	j := NewRunnerSet(func() RunnerSnapshot {
 		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4},
-			Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}}
+			Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}, Views: []DataCentreView{
+				{DataCentre: "dc0", Age: 500 * time.Millisecond, Services: []ServiceSlots{{Service: "s", Slots: 8, Free: 3}}},
+			}}
 	})
 	j.Answer("q", nil, time.Millisecond)
 	for _, k := range fault.Kinds() {
@@ -84,6 +86,9 @@
 		`lovagecrank_slot_seconds_total 60`,
 		`lovagecrank_held_runs 3`,
 		`lovagecrank_evacuated_data_centres{data_centre="b"} 1`,
+		`lovagecrank_view_age_seconds{data_centre="dc0"} 0.5`,
+		`lovagecrank_view_slots{data_centre="dc0",service="s",state="all"} 8`,
+		`lovagecrank_view_slots{data_centre="dc0",service="s",state="free"} 3`,
 		`lovagecrank_endpoints{state="open"} 4`,
 		`lovagecrank_orders_total{order="start",verdict="accepted"} 1`,
 	} {
--- a/metric/table.go
+++ b/metric/table.go
@@ -41,6 +41,8 @@
 	offersEnded
 	offersReserved
 	slotTime
+	viewAge
+	viewSlots
 	numMetrics
 )
 
@@ -114,4 +116,6 @@
 	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
 	offersReserved:       {"lovagecrank_offer_reserved_seconds_total", counter, "seconds", nil, "On the platform: time for which slots were reserved by offers.", "If it exceeds 1 % of lovagecrank_slot_seconds_total while tasks wait, check the links between the instances."},
 	slotTime:             {"lovagecrank_slot_seconds_total", counter, "seconds", nil, "On the platform: time for which the endpoints that this instance holds had slots, counted in tasks of typical size and added up over the slots.", noAction},
+	viewAge:              {"lovagecrank_view_age_seconds", gauge, "seconds", []string{"data_centre"}, "On the platform: the age of the view of a data centre by which jobs are admitted. It is missing if there is none, as in installations of up to 17 instances.", "If it exceeds 1, or is missing for one data centre, check the links to it and its two largest instances."},
+	viewSlots:            {"lovagecrank_view_slots", gauge, "slots", []string{"data_centre", "service", "state"}, "On the platform: slots of a data centre by that view, by state: all or free.", "If instances differ, see lovagecrank_view_age_seconds."},
 }
--- a/pool/evacuation.go
+++ b/pool/evacuation.go
@@ -167,7 +167,7 @@
 // that only evacuated endpoints could run.
 func (m *Machine) refuseUnservable(now time.Time, out *Output) {
 	for _, j := range slices.Clone(m.queue) {
-		if f := m.evacuatedFault(j); f != nil && !j.mayHaveStarted() {
+		if f := m.evacuatedFault(now, j); f != nil && !j.mayHaveStarted() {
 			m.endJob(now, j, f, out)
 		}
 	}
@@ -175,7 +175,7 @@
 
 // evacuatedFault returns the refusal of a job that only evacuated endpoints could
 // run, or nil.
-func (m *Machine) evacuatedFault(j *homeJob) *fault.Error {
+func (m *Machine) evacuatedFault(now time.Time, j *homeJob) *fault.Error {
 	if len(m.evacuations.inForce.DataCentres) == 0 {
 		return nil
 	}
@@ -192,5 +192,5 @@
 	if !evacuated {
 		return nil
 	}
-	return fault.New(fault.EndpointsUnavailable, "all endpoints of service %s that could run it are in evacuated data centres: %s", j.Queue.Service, strings.Join(m.evacuations.inForce.DataCentres, ", ")).WithRetryAfter(evacuatedRetryAfter + m.retryAfter(j))
+	return fault.New(fault.EndpointsUnavailable, "all endpoints of service %s that could run it are in evacuated data centres: %s", j.Queue.Service, strings.Join(m.evacuations.inForce.DataCentres, ", ")).WithRetryAfter(evacuatedRetryAfter + m.retryAfter(now, j, load{}))
 }
--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -94,6 +94,7 @@
 	if len(recipients) == 0 {
 		return
 	}
+	m.recordOwnReport(now, withFreeSlots, v.Capacities)
 	m.freeSlots.nextAt = now.Add(m.sendInterval(len(recipients), shareSendInterval, backlogCPUShare))
 	for _, p := range recipients {
 		m.send(p.info.Ref, m.withShares(v, p.info.Ref), out)
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -164,6 +164,9 @@
 		freeSlots freeSlotsState
 		judge     judge
 		profiles  profilesState
+		views     viewState
+		refusals  refusals
+		routes    routeChoice
 	}
 )
 
@@ -194,6 +197,8 @@
 		answerTimes:   newAnswerTimes(),
 		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
 		profiles:      newProfilesState(now),
+		views:         viewState{reports: map[instance.Ref]receivedReport{}},
+		refusals:      refusals{byJob: map[string]time.Time{}},
 	}
 	if cfg.AwaitEvacuations {
 		m.evacuations.awaitedUntil = now.Add(evacuationWait)
@@ -342,6 +347,8 @@
 	m.runNumbers.expire(now)
 	m.maintainJudge(now, out)
 	m.broadcastProfiles(now, out)
+	m.refusals.expire(now)
+	m.forgetReports()
 	m.reassignNeeded = true
 	for _, e := range slices.Clone(m.held) {
 		m.maintain(now, e, out)
@@ -373,5 +380,6 @@
 	m.placeTasks(now, out)
 	m.broadcastStatus(now, out)
 	m.broadcastFreeSlots(now, out)
+	m.broadcastViews(now, out)
 	out.wakeAt(m.lastTick.Add(tickPeriod))
 }
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/lovagecrank/lovagecrank/capacity"
 	"github.com/lovagecrank/lovagecrank/instance"
 )
 
@@ -37,6 +38,9 @@
 	ReaderRank            int
 	// Offers counts the offers of slots to peers.
 	Offers OfferCounts
+	// DataCentres are the views of data centres in use, in the order of their
+	// names.
+	DataCentres []capacity.View
 }
 
 // View returns a snapshot of the machine.
@@ -66,6 +70,7 @@
 			v.ReaderRank++
 		}
 	}
+	v.DataCentres = m.viewsInUse(now)
 	v.Ready = !m.draining && (v.Active > 0 || m.peersHaveSlots())
 	return v
 }
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -23,6 +23,8 @@
 		m.handlePeerEvacuations(now, p, b.Evacuations, out)
 	case message.FreeSlots:
 		m.handleFreeSlots(now, p, b)
+	case message.DataCentreViews:
+		m.handleViews(now, p, b, out)
 	case message.StartRun:
 		m.startForPeer(now, p, b, out)
 	case message.StopRun:
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
@@ -80,6 +81,13 @@
 		reference referenceQueue
 		// log has the events of all instances.
 		log []event.Record
+		// onRefusal is called when a job is refused as not run; nil means it is
+		// not.
+		onRefusal func(*callerJob, *fault.Error)
+		// viewMessages counts the messages with views of data centres, and
+		// onViewMessage is called for each; nil means it is not.
+		viewMessages  int
+		onViewMessage func(from *fakeInstance)
 	}
 
 	fakeInstance struct {
@@ -88,6 +96,9 @@
 		self      instance.Info
 		alive     bool
 		suspended bool
+		// former makes it an instance of the former release, which does not know
+		// views of data centres.
+		former bool
 		// inbox has the inputs that arrived while the instance was suspended.
 		inbox []func()
 		wake  time.Time
@@ -378,6 +389,15 @@
 	if o == nil || !n.connected[o.index] {
 		return
 	}
+	if _, ok := msg.Body.(message.DataCentreViews); ok {
+		if n.former || o.former {
+			return
+		}
+		sim.viewMessages++
+		if sim.onViewMessage != nil {
+			sim.onViewMessage(n)
+		}
+	}
 	sim.messages++
 	msg = sim.withoutEvacuations(msg, n, o)
 	msg.Body = received(msg.Body)
