--- a/capacity/merge.go
+++ b/capacity/merge.go
@@ -90,14 +90,13 @@
 
 func addArrivals(sum *message.Capacity, a message.ArrivalRate) {
 	at, found := slices.BinarySearchFunc(sum.Arrivals, a, func(a, b message.ArrivalRate) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.DataCentre, b.DataCentre))
+		return cmp.Compare(a.Priority, b.Priority)
 	})
 	if !found {
 		sum.Arrivals = slices.Insert(sum.Arrivals, at, a)
 		return
 	}
 	sum.Arrivals[at].Slots += a.Slots
-	sum.Arrivals[at].Refused += a.Refused
 }
 
 // Scale multiplies all counts, for reports that cover only a part of what they
@@ -118,7 +117,6 @@
 		}
 		for k := range c.Arrivals {
 			c.Arrivals[k].Slots *= factor
-			c.Arrivals[k].Refused *= factor
 		}
 	}
 }
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -111,7 +111,7 @@
 		valid = valid && w.Tasks >= 0 && w.Work >= 0
 	}
 	for _, a := range c.Arrivals {
-		valid = valid && validAmount(a.Slots) && validAmount(a.Refused)
+		valid = valid && validAmount(a.Slots)
 	}
 	return valid
 }
--- a/message/pool.go
+++ b/message/pool.go
@@ -59,23 +59,18 @@
 		Largest task.Needs
 		// Backlog has one entry for each priority with waiting tasks.
 		Backlog []WaitingTasks
-		// Arrivals has one entry for each priority and data centre of the callers
-		// with recent jobs.
+		// Arrivals has one entry for each priority with recent jobs.
 		Arrivals []ArrivalRate
 		// Leaving is how many of the slots are about to be lost, and Joining how
 		// many more will be usable soon.
 		Leaving, Joining float64
 	}
 
-	// ArrivalRate is the rate at which work of one priority arrives from the
-	// callers of one data centre.
+	// ArrivalRate is the rate at which work of one priority arrives.
 	ArrivalRate struct {
 		Priority int
-		// DataCentre is that of the callers; empty means the sender's.
-		DataCentre string
-		// Slots is how many slots the admitted work keeps busy, and Refused how
-		// many the refused work would.
-		Slots, Refused float64
+		// Slots is how many slots the work keeps busy.
+		Slots float64
 	}
 
 	// WaitingTasks is the demand of the waiting tasks of one priority.
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -177,10 +177,10 @@
 func decodeArrivals(list []*wire.ArrivalRate) ([]message.ArrivalRate, error) {
 	var arrivals []message.ArrivalRate
 	for _, w := range list {
-		if err := errors.Join(checkAmount(w.GetSlots()), checkAmount(w.GetRefusedSlots()), checkName(w.GetDataCentre())); err != nil {
+		if err := checkAmount(w.GetSlots()); err != nil {
 			return nil, err
 		}
-		arrivals = append(arrivals, message.ArrivalRate{Priority: int(w.GetPriority()), DataCentre: w.GetDataCentre(), Slots: w.GetSlots(), Refused: w.GetRefusedSlots()})
+		arrivals = append(arrivals, message.ArrivalRate{Priority: int(w.GetPriority()), Slots: w.GetSlots()})
 	}
 	return arrivals, nil
 }
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -110,9 +110,7 @@
 			})
 		}
 		for _, a := range c.Arrivals {
-			capacity.Arrivals = append(capacity.Arrivals, &wire.ArrivalRate{
-				Priority: int32(a.Priority), DataCentre: a.DataCentre, Slots: a.Slots, RefusedSlots: a.Refused,
-			})
+			capacity.Arrivals = append(capacity.Arrivals, &wire.ArrivalRate{Priority: int32(a.Priority), Slots: a.Slots})
 		}
 		w = append(w, capacity)
 	}
