--- a/check.sh
+++ b/check.sh
@@ -38,6 +38,6 @@
 echo "== test"
 # The lists are split into words: package paths contain no spaces.
 # shellcheck disable=SC2086
-go test -race -timeout 900s ${skip:+"$skip"} $others
+go test -race -timeout 1800s ${skip:+"$skip"} $others
 # shellcheck disable=SC2086
-go test -race -timeout 900s ${skip:+"$skip"} $property -rapid.seed=1
+go test -race -timeout 1800s ${skip:+"$skip"} $property -rapid.seed=1
--- a/pool/announced_capacity_test.go
+++ b/pool/announced_capacity_test.go
@@ -15,6 +15,7 @@
 // at the other instances, and the slots that its runs will take are reported as about
 // to be lost. An endpoint that is claimed, or cold, is reported as joining.
 func TestLeavingIsReported(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 2, 4)
 	sim.advance(2 * time.Second)
@@ -80,6 +81,7 @@
 // TestClaimedEndpointIsJoining answers replacements that are listed: until their claim
 // is answered, their slots are reported as joining.
 func TestClaimedEndpointIsJoining(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	m := New(now, Config{Self: instance.Info{Ref: instance.Ref{DataCentre: "a", ID: "n0"}}, LeaseTime: testLeaseTime, StopTime: testStopTime})
@@ -98,6 +100,7 @@
 
 // TestViewOfLifetimes tests the numbers behind the metric of held endpoints.
 func TestViewOfLifetimes(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 4)
 	sim.advance(2 * time.Second)
--- a/pool/boot_test.go
+++ b/pool/boot_test.go
@@ -11,6 +11,7 @@
 // TestReplyFromEarlierBoot guards against a late reply of an earlier boot, whose
 // clock would end the leases of the present one.
 func TestReplyFromEarlierBoot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 1)
 	n := sim.instances[0]
@@ -34,6 +35,7 @@
 // once, also if an immediate poll with the earlier token is pending: no run is left
 // there that would send another poll.
 func TestNewBootIsFencedBesideImmediatePoll(t *testing.T) {
+	t.Parallel()
 	for _, pending := range []bool{false, true} {
 		is := is.New(t)
 		sim := startSimulation(t, 1, 1, 2)
@@ -63,6 +65,7 @@
 // earlier boot started, without an answer, as one that never began, after which its
 // job could be refused as not run.
 func TestStartedRunOfEarlierBoot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 1)
 	sim.addTrouble(50*time.Millisecond, trouble{problem: answerReset, kinds: []orderKind{startOrder}, share: 1})
@@ -83,6 +86,7 @@
 // task: its deadline is on the clock of the earlier boot. The observer fails the test
 // if it does.
 func TestLateStartInNextBoot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	sim.advance(20 * time.Second) // the clocks are far ahead of those of a new boot
@@ -106,6 +110,7 @@
 
 // TestLateStartOnNewBoot guards against a start that was given up and reaches the endpoint's next boot, where the holder used the token of that start again.
 func TestLateStartOnNewBoot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	first, second := sim.endpoints[0], sim.endpoints[1]
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -24,6 +24,7 @@
 // TestColdRunsAreNotJudged answers slow runs on a cold endpoint: they say nothing about
 // its speed, and one that stalls causes no backoff.
 func TestColdRunsAreNotJudged(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, e := coldFleet(t, 1, 5*time.Second)
 	c := sim.submit(0, &longQueue, 9*time.Second, step(12, 10*time.Millisecond)) // enough runs to learn a speed
@@ -46,6 +47,7 @@
 // TestRunBeforeColdTime answers an endpoint that becomes cold while a task of 0.1 s runs
 // there: the run may take four times as long before it counts as stalled.
 func TestRunBeforeColdTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 2)
 	sim.advance(2 * time.Second)
@@ -66,6 +68,7 @@
 // TestColdEndpointGetsLess answers two tasks for one endpoint that can run both: while
 // it is cold it runs one at first, and reports no room of that size.
 func TestColdEndpointGetsLess(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, _ := coldFleet(t, 1, 8*time.Second)
 	m := sim.instances[0].machine
@@ -80,6 +83,7 @@
 // TestWarmEndpointFirst answers a short task while a cold endpoint is idle and a warm
 // one runs something: it starts on the warm one.
 func TestWarmEndpointFirst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, _ := coldFleet(t, 2, 5*time.Second)
 	sim.submit(0, &longQueue, 9*time.Second, step(1, time.Second))
@@ -92,6 +96,7 @@
 // TestWithdrawnNotice answers an endpoint that drains by its polls and by the list, and
 // then takes work again in the same boot: it gets work once the list says so.
 func TestWithdrawnNotice(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 1)
 	sim.advance(2 * time.Second)
@@ -111,6 +116,7 @@
 // one, which drains too but reports a time that can't be right, and that a notice that
 // is withdrawn moves nothing.
 func TestNoticeOfBoot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	m := New(now, Config{Self: instance.Info{Ref: instance.Ref{ID: "n0"}}, LeaseTime: testLeaseTime, StopTime: testStopTime})
--- a/pool/endpoint_log_test.go
+++ b/pool/endpoint_log_test.go
@@ -23,6 +23,7 @@
 // TestFewLinesOfLargeFleet tests that a fleet writes few lines about its
 // endpoints when it starts and when an instance stops.
 func TestFewLinesOfLargeFleet(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startLargeFleet(t, 1)
 	lines := sim.linesAboutEndpoints()
@@ -38,6 +39,7 @@
 // TestDeadEndpointIsLoggedOnce tests that an endpoint that is claimed again and
 // again without an answer is logged as lost once, and as regained once.
 func TestDeadEndpointIsLoggedOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 2)
 	sim.advance(2 * time.Second)
@@ -53,6 +55,7 @@
 // TestReconnectedPeerIsLogged tests that the line about a stream that was opened
 // again says so.
 func TestReconnectedPeerIsLogged(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 2, 2)
 	sim.advance(2 * time.Second)
--- a/pool/evacuation_state_test.go
+++ b/pool/evacuation_state_test.go
@@ -14,6 +14,7 @@
 // TestAdoptEvacuations tests which set of evacuations is in force after a read or
 // a peer's report.
 func TestAdoptEvacuations(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name            string
 		known, reported message.Evacuations
@@ -44,6 +45,7 @@
 // TestOldEvacuationsAreAnswered sends a peer that reports an older set the one in
 // force, once, and nothing to a peer that has the same set or knows none.
 func TestOldEvacuationsAreAnswered(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name     string
 		reported message.Evacuations
@@ -82,6 +84,7 @@
 // the instances read nothing and streams are reset. In the end all know the last
 // state, also those that heard of one that was taken back at once.
 func TestEvacuationsConverge(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 20; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -25,6 +25,7 @@
 // one can serve, and takes that back. No job is refused for it, runs under way end
 // as usual, holders stay, and the endpoints get work again.
 func TestEvacuation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 28)
 	holders := map[*fakeEndpoint]int64{}
@@ -62,6 +63,7 @@
 // admission of every instance, and comes back, within 150 ms of the first read.
 // Only one instance reads the store.
 func TestRoomOfEvacuated(t *testing.T) {
+	t.Parallel()
 	for reader := range 4 {
 		t.Run(fmt.Sprint(reader), func(t *testing.T) {
 			is := is.New(t)
@@ -104,6 +106,7 @@
 // TestRoomAtStart checks that an instance that has just started, and counts on the
 // listed endpoints, does not count those of an evacuated data centre.
 func TestRoomAtStart(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	sim.setEvacuated("dc1", true)
@@ -116,6 +119,7 @@
 // TestEvacuationKnownToHalf evacuates a data centre while the store answers only
 // half of the instances: those of one data centre, or one in each.
 func TestEvacuationKnownToHalf(t *testing.T) {
+	t.Parallel()
 	for _, blind := range [][]int{{0, 2}, {1, 3}, {0, 1}, {2, 3}} {
 		t.Run(fmt.Sprint(blind), func(t *testing.T) {
 			is := is.New(t)
@@ -138,6 +142,7 @@
 // TestStoreDownAfterEvacuation restarts instances while the store answers nobody.
 // Their peers tell them of the evacuation.
 func TestStoreDownAfterEvacuation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	sim.generateLoad(9 * time.Second)
@@ -162,6 +167,7 @@
 // knows whether there is an evacuation. They use no endpoint for evacuationWait,
 // and then work as if there were none.
 func TestUnknownEvacuations(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newSimulation(t, 1, 4, 12)
 	for i := range sim.instances {
@@ -182,6 +188,7 @@
 // TestEvacuationAndFullRestart loses all instances for 1.7 s under a load beyond
 // what is left beside an evacuation, as in a burst.
 func TestEvacuationAndFullRestart(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
@@ -212,6 +219,7 @@
 // are not answered and are carried out 2 to 12 s later. The observer checks that
 // none of them starts a run there after the bound.
 func TestLateStartsIntoEvacuated(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			sim := startSimulation(t, seed, 4, 20)
@@ -229,6 +237,7 @@
 // them back. In between, jobs are refused as not run at once, also those that wait;
 // runs under way end as usual.
 func TestEvacuationOfAll(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 4)
 	running := sim.submit(0, &longQueue, 8*time.Second, step(8, 1500*time.Millisecond))
@@ -263,6 +272,7 @@
 // TestLargeJobBesideEvacuation refuses a job that fits only on evacuated
 // endpoints, and serves the others.
 func TestLargeJobBesideEvacuation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newSimulation(t, 1, 4, 12)
 	for _, e := range sim.endpoints {
@@ -285,6 +295,7 @@
 // TestOffersOfEvacuated withdraws the offers of an evacuated data centre. A start
 // for such an offer is declined as not run.
 func TestOffersOfEvacuated(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 4)
 	holder, home := sim.instances[0], sim.instances[1]
@@ -312,6 +323,7 @@
 // TestPeersOfFormerRelease runs the instances of the evacuated data centre with
 // a release that knows no evacuations. The others send no task there.
 func TestPeersOfFormerRelease(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	sim.evacuations.former = map[int]bool{0: true, 2: true}
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -236,6 +236,7 @@
 
 // TestFailures injects each kind of failure three times under load.
 func TestFailures(t *testing.T) {
+	t.Parallel()
 	for _, f := range failures {
 		for seed := uint64(1); seed <= 6; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", f.name, seed), func(t *testing.T) {
@@ -258,6 +259,7 @@
 // TestFailuresTogether injects eight random failures that overlap, also of the
 // same kind.
 func TestFailuresTogether(t *testing.T) {
+	t.Parallel()
 	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -273,6 +275,7 @@
 // TestFailuresTogetherLongRuns is like TestFailuresTogether with runs that still
 // run when orders are carried out late, for a quarter of the scenarios.
 func TestFailuresTogetherLongRuns(t *testing.T) {
+	t.Parallel()
 	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios/4); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -296,6 +299,7 @@
 
 // TestResetStreams tests that a reset stream that is opened again ends no run.
 func TestResetStreams(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	c := sim.submit(0, &longQueue, 4*time.Second, step(20, 500*time.Millisecond))
@@ -316,6 +320,7 @@
 // the process ends: jobs that can't be completed by then are refused, and none
 // is interrupted.
 func TestPlannedStopAnswersAll(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	end := sim.now.Add(5 * time.Second)
@@ -339,6 +344,7 @@
 // runs when a partition between the data centres heals, except that each
 // instance of the larger side may claim one endpoint.
 func TestHealedPartitionKeepsHolders(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 8; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
@@ -368,6 +374,7 @@
 // TestHolderLost tests that the loss of a holder delays its tasks by the time
 // of one lease at most.
 func TestHolderLost(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	c := sim.submit(0, &longQueue, 8*time.Second, step(24, time.Second))
--- a/pool/identity_test.go
+++ b/pool/identity_test.go
@@ -57,6 +57,7 @@
 // if a run of the same name belongs to another home: the caller sent its job again
 // there, and the first home stops what it started.
 func TestStopOfAnotherHome(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, b := newHolder(t, 6)
 	at := acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
@@ -70,6 +71,7 @@
 // TestRunsOfTwoHomesWithOneName tests that the runs of two homes with one name
 // do not replace each other on an endpoint: each home hears of its run.
 func TestRunsOfTwoHomesWithOneName(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, b := newHolder(t, 1)
 	id := acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
@@ -98,6 +100,7 @@
 // instance for one about its run: it may be late and about a run of the same name
 // of an earlier request. The observer fails the test if a second run starts.
 func TestUpdateOfAnotherHolder(t *testing.T) {
+	t.Parallel()
 	for _, status := range []run.Status{run.NotRun, run.Stopped, run.Failed, run.Expired} {
 		t.Run(status.String(), func(t *testing.T) {
 			is := is.New(t)
@@ -126,6 +129,7 @@
 // start was lost with the stream, also if another home has a run of the same name
 // here.
 func TestExpectedRunOfAnotherHome(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, b := newHolder(t, 6)
 	acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
@@ -143,6 +147,7 @@
 // has a run of the same task for another home, whatever the numbers of the two runs:
 // the second home waits for a lease and then asks with the next number.
 func TestStartBesideRunOfAnotherHome(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, b := newHolder(t, 6)
 	acceptStart(t, sim, m, receive(sim, m, a, startOf(sameRef)))
@@ -154,6 +159,7 @@
 // TestOrphanUpdateOfAnotherHolder guards against forgetting an orphaned run because of
 // an update of an instance that does not hold it.
 func TestOrphanUpdateOfAnotherHolder(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 3, 6)
 	sim.advance(2 * time.Second)
@@ -178,6 +184,7 @@
 // TestOwnTaskBesideRunOfAnotherHome guards against a home that starts a task on its own
 // endpoints while it has a run of the task there for another home.
 func TestOwnTaskBesideRunOfAnotherHome(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, _ := newHolder(t, 6)
 	ref := run.Ref{Task: "j0001.0.0.0", Number: 1} // the first job of the simulation
--- a/pool/judgement_test.go
+++ b/pool/judgement_test.go
@@ -35,6 +35,7 @@
 // their work, which is needed at the higher loads. A task has two to four
 // attempts.
 func TestPartlyFailingEndpoints(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		load float64
@@ -75,6 +76,7 @@
 // TestEndpointFailsEverything counts the runs that an endpoint draws that fails
 // each run at once, which makes it look free.
 func TestEndpointFailsEverything(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		load    float64
@@ -111,6 +113,7 @@
 // in time on all but the slowest kind. Of the runs of the tail, one in thirty,
 // each makes its job late: (29/30)^8 = 0.76 of the urgent jobs have none.
 func TestEndpointsOfSeveralSpeeds(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name      string
 		tailShare float64
@@ -175,6 +178,7 @@
 // TestPoisonJobs plays jobs whose tasks fail everywhere beside the users' mix of
 // jobs. No endpoint may be ejected for them.
 func TestPoisonJobs(t *testing.T) {
+	t.Parallel()
 	for _, every := range []time.Duration{400 * time.Millisecond, 50 * time.Millisecond} {
 		sim := startSimulation(t, 1, 4, 28)
 		end := sim.now.Add(20 * time.Second)
@@ -202,6 +206,7 @@
 
 // TestJobOfTask checks that the job's ID is found again, which may have dots.
 func TestJobOfTask(t *testing.T) {
+	t.Parallel()
 	for _, id := range []string{"j1", "a.b", "a.0.1.2"} {
 		if got := jobOfTask(taskName(id, 3, 12)); got != id {
 			t.Errorf("job of a task of %s is %s", id, got)
@@ -215,6 +220,7 @@
 // TestFailedTaskAvoidsEndpoint checks that the attempts of a task are on different
 // endpoints where there are enough of them.
 func TestFailedTaskAvoidsEndpoint(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		endpoints, different int
 	}{{28, 4}, {1, 1}} {
--- a/pool/large_fleet_test.go
+++ b/pool/large_fleet_test.go
@@ -48,6 +48,7 @@
 // seconds of processor time in the first 14 seconds, on machines with a fifth of
 // a core.
 func TestStreamsOfLargeFleets(t *testing.T) {
+	t.Parallel()
 	tests := []struct{ dataCentres, instances int }{{6, 150}, {5, 573}}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.instances), func(t *testing.T) {
@@ -80,6 +81,7 @@
 // TestFullRestartOfLargeFleet restarts all instances of a large fleet under load
 // at once. A second later, they must serve again.
 func TestFullRestartOfLargeFleet(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startLargeFleet(t, 1)
 	sim.generateMixedLoad(500*time.Millisecond, 0.5)
@@ -108,6 +110,7 @@
 // claim its endpoints, although none of them has a stream with all of its
 // instances, and give them back later.
 func TestDataCentreOfLargeFleetLost(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 4, 40, 80)
 	sim.advance(3 * time.Second)
@@ -135,6 +138,7 @@
 // that has other instances. The instance finds other contacts there and claims
 // none of its endpoints.
 func TestLostContactsKeepHolders(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 4, 40, 80)
 	sim.advance(3 * time.Second)
@@ -164,6 +168,7 @@
 // connect again a little later. Without isolationDelay the instance took the
 // endpoints of its data centre from their holders.
 func TestIsolatedInstanceKeepsHolders(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{10, 40} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			is := is.New(t)
@@ -189,6 +194,7 @@
 // has not read the list of endpoints yet. They wait for it. Before, they were
 // refused, although their callers had waited for the restart already.
 func TestJobsBeforeListOfEndpoints(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	for i := range sim.instances {
@@ -211,6 +217,7 @@
 // when most callers ask about one thing. Placement must not follow it: all
 // endpoints get their share.
 func TestHotThingIsSpread(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startLargeFleet(t, 1)
 	for i := range 1500 {
--- a/pool/lifetime_rules_test.go
+++ b/pool/lifetime_rules_test.go
@@ -16,6 +16,7 @@
 
 // TestRemainingTime tests which readings of the remaining time count.
 func TestRemainingTime(t *testing.T) {
+	t.Parallel()
 	type reading struct {
 		at, sent, remaining time.Duration
 		valid               bool
@@ -55,6 +56,7 @@
 // of 3 s: estimates are off by up to 40 %, and one run in thirty takes seven times its
 // estimate, which its progress shows.
 func TestEarliestEnd(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1_800_000_000, 0)
 	tests := []struct {
 		name     string
@@ -87,6 +89,7 @@
 // TestColdRamp tests how many tasks an endpoint of 16 cores and 8 slots gets that is cold
 // for 4 s, by the size of the tasks.
 func TestColdRamp(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1_800_000_000, 0)
 	tests := []struct {
 		after time.Duration
@@ -125,6 +128,7 @@
 // TestExpectedRunTimeOnColdEndpoint tests how long a run may take on an endpoint that
 // is cold for 2 s more.
 func TestExpectedRunTimeOnColdEndpoint(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	start := time.Unix(1_800_000_000, 0)
 	var l lifetime
@@ -138,6 +142,7 @@
 }
 
 func TestWorkAfter(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := time.Second
 	steps := []Step{{Estimate: s}, {Estimate: 2 * s, After: []int{0}}, {Estimate: s, After: []int{0}}, {Estimate: 4 * s, After: []int{1, 2}}}
@@ -149,6 +154,7 @@
 // TestUsefulElsewhere tests for which runs of 3 s a new run can still be useful, 1 s
 // after the start unless said otherwise.
 func TestUsefulElsewhere(t *testing.T) {
+	t.Parallel()
 	s := time.Second
 	tests := []struct {
 		name     string
@@ -194,6 +200,7 @@
 // TestTurnover tests which endpoints get a line: the first eight of a wave, then
 // summaries, and again after a pause.
 func TestTurnover(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	var v turnover
@@ -221,6 +228,7 @@
 
 // TestMoveOfOtherHomesRun answers an endpoint that leaves with the run of another home.
 func TestMoveOfOtherHomesRun(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	var c *callerJob
@@ -241,6 +249,7 @@
 // TestMovesNeedRoom answers long runs on three endpoints that leave while one slot is
 // free on the fourth: no more runs are stopped than can start again.
 func TestMovesNeedRoom(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 4)
 	sim.advance(2 * time.Second)
@@ -261,6 +270,7 @@
 // the task starts again only when the endpoint's end or the lease proves the end of its
 // run (the observer checks that no two runs overlap), and is still served.
 func TestMoveWithoutEffect(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	c := sim.submit(0, &longQueue, 12*time.Second, step(1, 3*time.Second))
@@ -277,6 +287,7 @@
 // TestRunsLostWithEndpoint answers an endpoint that leaves with runs: one line tells
 // how many, at the level of what was announced.
 func TestRunsLostWithEndpoint(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 1)
 	sim.advance(2 * time.Second)
@@ -293,6 +304,7 @@
 // those of the other one are warm and free: a short job that arrives there runs on warm
 // ones, and a task that is long against the cold time stays.
 func TestShortTasksAvoidColdEndpoints(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name     string
 		estimate time.Duration
--- a/pool/lifetime_test.go
+++ b/pool/lifetime_test.go
@@ -42,6 +42,7 @@
 // notice, in each queue but for a job in two hundred. 0.9 is what urgent callers get at
 // 80 % load (TestLoads).
 func TestSeventhOfEndpointsGone(t *testing.T) {
+	t.Parallel()
 	with, without := map[string]*tally{}, map[string]*tally{}
 	for seed := uint64(1); seed <= 4; seed++ {
 		sim, tallies := seventhGone(t, seed, true)
@@ -95,6 +96,7 @@
 // and before the 7 s that its loss would take: the endpoint's end at 2.3 s, 1.7 s until
 // the loss is proved, and a new run.
 func TestRunOutlastsEndpoint(t *testing.T) {
+	t.Parallel()
 	second := time.Second
 	tests := []struct {
 		name   string
@@ -159,6 +161,7 @@
 // taken: a run that would outlast its endpoint goes on, since its task could not start
 // elsewhere, and ends there if the endpoint stays longer than announced.
 func TestRunStaysWithoutOtherSlot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	var jobs []*callerJob
@@ -179,6 +182,7 @@
 // has told only that holder that it leaves: the next one learns the rest of the time
 // with its first poll, before it starts anything there.
 func TestHolderLostWhileEndpointLeaves(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 3, 6)
 	sim.advance(2 * time.Second)
@@ -218,6 +222,7 @@
 // then starts again under its name, before the list said anything: the new boot gets
 // work.
 func TestNoticeEndsWithBoot(t *testing.T) {
+	t.Parallel()
 	for _, down := range []time.Duration{100 * time.Millisecond, 3 * time.Second} {
 		t.Run(fmt.Sprint(down), func(t *testing.T) {
 			is := is.New(t)
@@ -248,6 +253,7 @@
 // endpoint may be judged by that, and the urgent callers must get what they get at
 // 80 % load (0.9, TestLoads).
 func TestDataCentreCold(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 28)
 	tallies := sim.generateMixedLoad(10*time.Second, 0.4)
@@ -279,6 +285,7 @@
 // another: a line for each of 40 endpoints at each instance says less than a few with
 // their number.
 func TestServiceReplacedInTurn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 40)
 	tallies := sim.generateMixedLoad(14*time.Second, 0.5)
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -91,6 +91,7 @@
 // network that drops answers. Neither a start nor a poll may take its whole
 // timeout. Waiting for these answers gave a share of 0.30.
 func TestOrdersCarriedOutLate(t *testing.T) {
+	t.Parallel()
 	sim := startSimulation(t, 1, 4, 28)
 	sim.lateShare = 0.055
 	tallies := sim.generateMixedLoad(20*time.Second, 0.6)
@@ -108,6 +109,7 @@
 // With a fixed time of 30 ms for an answer, starts were stopped and repeated,
 // which loaded the link further: 0.13 of the urgent jobs were within their goal.
 func TestSlowLink(t *testing.T) {
+	t.Parallel()
 	sim := startSimulation(t, 1, 4, 28)
 	sim.startTransferTime = 6 * time.Millisecond
 	tallies := sim.generateMixedLoad(20*time.Second, 0.5)
@@ -133,6 +135,7 @@
 // TestLoads checks the results of the users' mix of jobs at several loads
 // without failures.
 func TestLoads(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name           string
 		load           float64
--- a/pool/log_test.go
+++ b/pool/log_test.go
@@ -40,6 +40,7 @@
 // refuses or ends a job can occur, and that its log line has the code of the
 // answer.
 func TestReasonsOfAnswers(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		play func(sim *simulation) *callerJob
@@ -120,6 +121,7 @@
 // TestEventsOfTroubles tests that each trouble is logged with the event that
 // documents it.
 func TestEventsOfTroubles(t *testing.T) {
+	t.Parallel()
 	stops := []orderKind{stopOrder}
 	starts := []orderKind{startOrder}
 	job := func(sim *simulation) *callerJob {
@@ -216,6 +218,7 @@
 // TestHistoryOfRestarts tests that a job's last line tells how often a task failed
 // and how often a holder declined to start it.
 func TestHistoryOfRestarts(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 2, 4)
 	sim.advance(2 * time.Second)
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestEveryEndpointHasOneHolder(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	holders := map[string]int{}
@@ -49,6 +50,7 @@
 }
 
 func TestJobCompletes(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		steps []Step
@@ -72,6 +74,7 @@
 }
 
 func TestJobThatAlwaysFails(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	sim.lastJob++
@@ -85,6 +88,7 @@
 }
 
 func TestTooLargeJobIsRefused(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	c := sim.submit(0, urgent, time.Second, Step{Tasks: 1, Needs: needs(17), Estimate: 20 * time.Millisecond})
@@ -95,6 +99,7 @@
 // TestLongRunEnds tests that a task that runs many times longer than its
 // estimate completes: it is restarted elsewhere once and then left running.
 func TestLongRunEnds(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	c := sim.newJob(routine, 4*time.Second, step(1, 100*time.Millisecond))
@@ -109,6 +114,7 @@
 // TestTooLargeJobKeepsTypicalNeeds tests that a job that fits on no endpoint
 // does not change the typical needs.
 func TestTooLargeJobKeepsTypicalNeeds(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	sim.submit(0, urgent, time.Second, Step{Tasks: 1, Needs: needs(99), Estimate: 20 * time.Millisecond})
@@ -121,6 +127,7 @@
 // TestCallerDisconnects tests that the runs of a caller are stopped at once
 // when it disconnects.
 func TestCallerDisconnects(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	c := sim.submit(0, urgent, 4*time.Second, step(20, 2*time.Second))
@@ -133,6 +140,7 @@
 // TestResubmittedJob tests that a job that is sent to its home again, while the
 // first request is still open, does not run twice at the same time.
 func TestResubmittedJob(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 12)
 	c := sim.submit(0, urgent, 4*time.Second, step(8, 300*time.Millisecond))
@@ -146,6 +154,7 @@
 // refused at once, with a retry delay. The delays differ, so that jobs refused
 // together are not retried together.
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	var refused []*callerJob
@@ -168,6 +177,7 @@
 // TestUrgentJobStartsFirst tests that an urgent job submitted to a full system
 // starts before the routine jobs that wait, here or at peers.
 func TestUrgentJobStartsFirst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 4)
 	for i := range 8 {
@@ -185,6 +195,7 @@
 // was unavailable may get another address from the store (platform/soak, seed
 // 24).
 func TestAddressChangeIsNoRestart(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name           string
 		change         func(e *fakeEndpoint, i *endpoint.Info)
--- a/pool/one_queue_test.go
+++ b/pool/one_queue_test.go
@@ -78,6 +78,7 @@
 }
 
 func TestOneQueue(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const ms = time.Millisecond
 	jobs := []queuedJob{
--- a/pool/order_troubles_test.go
+++ b/pool/order_troubles_test.go
@@ -26,6 +26,7 @@
 // TestOrderTroubles plays each problem of orders under load, for each kind of
 // orders.
 func TestOrderTroubles(t *testing.T) {
+	t.Parallel()
 	for _, p := range problems {
 		for _, k := range orderKinds {
 			t.Run(p.name+"/"+k.name, func(t *testing.T) {
@@ -38,6 +39,7 @@
 // TestOrderTroublesTogether plays each pair of problems of orders under load,
 // once for all orders and once for random kinds of orders.
 func TestOrderTroublesTogether(t *testing.T) {
+	t.Parallel()
 	for i, a := range problems {
 		for j, b := range problems[:i] {
 			t.Run(a.name+", "+b.name, func(t *testing.T) {
--- a/pool/poison_test.go
+++ b/pool/poison_test.go
@@ -77,6 +77,7 @@
 // TestSlowJobsBesideOthers plays jobs that take 25 times their estimate, which bring
 // the load to 68 %.
 func TestSlowJobsBesideOthers(t *testing.T) {
+	t.Parallel()
 	poisonTest{slow: true, minShare: 0.97}.play(t)
 }
 
@@ -84,6 +85,7 @@
 // load to 61 %, and to 79 % with the slow ones. The shares are those that TestLoads
 // demands for 60 % and 80 %.
 func TestFailingJobsBesideOthers(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []poisonTest{
 		{"failing", true, false, 0.97},
 		{"failing and slow", true, true, 0.9},
--- a/pool/profiles_test.go
+++ b/pool/profiles_test.go
@@ -26,6 +26,7 @@
 // TestHolderChangeKeepsProfile lets an instance lose its endpoints. Whoever holds
 // the slow ones next must know that they are slow before it has run anything there.
 func TestHolderChangeKeepsProfile(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		lose func(sim *simulation, n *fakeInstance)
@@ -76,6 +77,7 @@
 // TestOddProfiles sends profiles that must change nothing: a peer may report
 // another boot of an endpoint, one that is unknown here, or wrong numbers.
 func TestOddProfiles(t *testing.T) {
+	t.Parallel()
 	sim := startSimulation(t, 1, 4, 8)
 	var from, to *fakeInstance
 	for _, n := range sim.instances {
@@ -135,6 +137,7 @@
 // TestLongEjectionReported checks that a peer can't keep an endpoint from work for
 // longer than an own ejection lasts.
 func TestLongEjectionReported(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 28)
 	n := sim.instances[0]
@@ -150,6 +153,7 @@
 // all endpoints need is lost. At most half of the endpoints may be without work at
 // any time, and all of them must have it back soon after.
 func TestAllEndpointsFailAtOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 4, 28)
 	tallies := sim.generateMixedLoad(20*time.Second, 0.6)
@@ -187,6 +191,7 @@
 // profileCPUShare of each instance's processor, at messageCost each, and that they
 // are small.
 func TestProfileMessages(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{8, 30} {
 		sim := startSimulation(t, 1, instances, 8*instances)
 		sim.generateMixedLoad(20*time.Second, 0.7)
@@ -205,6 +210,7 @@
 // TestQueueProfilesAreBounded checks that a message has few queues, and none whose
 // name a peer would refuse.
 func TestQueueProfilesAreBounded(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 2, 8)
 	m := sim.instances[0].machine
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -11,6 +11,7 @@
 // can still be answered in time to be useful are served from the slots that the
 // others leave. When they were refused, 0.19 of all jobs were.
 func TestRetriesAfterFullRestart(t *testing.T) {
+	t.Parallel()
 	refused, late, onTime, all := 0, 0, 0, 0
 	for seed := uint64(1); seed <= 5; seed++ {
 		sim := restartUnderLoad(t, seed)
--- a/pool/retry_after_test.go
+++ b/pool/retry_after_test.go
@@ -16,6 +16,7 @@
 // TestRetrySpread checks over which time refused callers come back: the time in
 // which the room beside the arriving work can serve them.
 func TestRetrySpread(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name           string
 		refused        int // jobs of one second of work at each of 30 instances
@@ -49,6 +50,7 @@
 // TestRetriesAreNotCounted checks that a job that comes again is counted neither
 // as refused work nor as new arrivals, and that this memory is bounded.
 func TestRetriesAreNotCounted(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newRegionalFleet(t, 30, 240)
 	m := sim.instances[0].machine
@@ -88,6 +90,7 @@
 // admitted in proportion to the room: with the uncertainty of an old view neither
 // all nor none, with a certain one all or none.
 func TestDecisionNearBound(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name        string
 		uncertainty time.Duration
--- a/pool/route_choice_test.go
+++ b/pool/route_choice_test.go
@@ -14,6 +14,7 @@
 // first by the wait there and the way there. Within it, each instance gets its
 // part.
 func TestRouteChoice(t *testing.T) {
+	t.Parallel()
 	type state struct{ free, waiting int }
 	tests := []struct {
 		name          string
@@ -55,6 +56,7 @@
 // TestNoRoute checks that a task stays where no peer has a slot that is large
 // enough.
 func TestNoRoute(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newRegionalFleet(t, 30, 240)
 	is.True(sim.instances[0].machine.choosePeer("s", needs(17)) == nil)
--- a/pool/run_numbers_test.go
+++ b/pool/run_numbers_test.go
@@ -10,6 +10,7 @@
 // TestRunNumbersContinue guards against a message about a run of an earlier
 // request for a job that is taken for one about a run of a later request.
 func TestRunNumbersContinue(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	c := sim.submit(0, &longQueue, 8*time.Second, step(1, 300*time.Millisecond))
--- a/pool/scale_test.go
+++ b/pool/scale_test.go
@@ -10,6 +10,7 @@
 // do not grow with the number of instances if the load per instance is the
 // same. Large deployments have many small machines with a fifth of a core each.
 func TestMessagesOfManyInstances(t *testing.T) {
+	t.Parallel()
 	perInstance := func(instances int) float64 {
 		sim := startSimulation(t, 1, instances, 8*instances)
 		sim.messages = 0
@@ -30,6 +31,7 @@
 // instances than those, jobs of lower priority were refused while a third of all
 // slots was free.
 func TestUrgentLoadEstimate(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{4, 48} {
 		sim := startSimulation(t, 1, instances, 8*instances)
 		sim.generateMixedLoad(3*time.Second, 0.6)
@@ -50,6 +52,7 @@
 // when all slots are busy, so that free slots and backlogs change with each
 // task. Sending each change within 4 ms cost 16 messages.
 func TestMessagesPerTask(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.6, 0.85, 1} {
 		sim := startSimulation(t, 1, 24, 6*24)
 		sim.messages = 0
@@ -70,6 +73,7 @@
 // pay most for them, send fewer: 5 messages of 40 microseconds are within the 0.25 ms
 // of processor time that a task may take.
 func TestMessagesOfBusySlots(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		instances int
 		cores     float64
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -44,6 +44,7 @@
 // TestSharesAddUp checks that shares add up to the tasks, in proportion to the
 // slots of the receivers.
 func TestSharesAddUp(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		slots []int
@@ -80,6 +81,7 @@
 // TestSharesTakeTurns checks that single tasks ask each receiver in proportion to
 // its slots, and that different homes ask different ones first.
 func TestSharesTakeTurns(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	receivers := receiversWith(4, 8, 4, 8)
 	asked := map[instance.Ref]int{}
@@ -112,6 +114,7 @@
 
 // TestSharesFollowTasks checks the account as tasks come, end and are offered for.
 func TestSharesFollowTasks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newShares("home")
 	receivers := receiversWith(10, 10, 10)
@@ -139,6 +142,7 @@
 // TestOfferCountsForMostUrgentShare checks that an offer counts against the most
 // urgent share of the holder.
 func TestOfferCountsForMostUrgentShare(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newShares("home")
 	receivers := receiversWith(10)
@@ -166,6 +170,7 @@
 // full, cut off or suspended, holds a task up for one shareTimeout only, and is
 // asked ever more rarely until it offers again.
 func TestSharesOfSilentHolder(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newShares("home")
 	receivers := receiversWith(10, 10, 10)
@@ -189,6 +194,7 @@
 // TestSharesWithoutAnotherHolder checks that an expired share stays if nobody else
 // can get it, and asks for no further tick. That tick was due at once, for ever.
 func TestSharesWithoutAnotherHolder(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newShares("home")
 	receivers := receiversWith(10)
@@ -204,6 +210,7 @@
 // longer a receiver, go to others at once, and that it is among the next when it
 // comes back.
 func TestSharesOfLostHolder(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newShares("home")
 	receivers := receiversWith(10, 10, 10)
--- a/pool/sharing_failures_test.go
+++ b/pool/sharing_failures_test.go
@@ -103,6 +103,7 @@
 // TestHolderFailsWithShare breaks a holder after it has got a share of an urgent
 // job. The job must end within its goal, since its share goes to others.
 func TestHolderFailsWithShare(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		fail func(s *sharedTasks, holder int)
@@ -135,6 +136,7 @@
 // TestHomeLostAfterSharing kills a home whose tasks are shared. The holders must
 // reserve nothing for it any more once its stream has ended.
 func TestHomeLostAfterSharing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSharedTasks(t, nil)
 	s.kill(0, false)
@@ -150,6 +152,7 @@
 // share is on the way. The holder knows no share until the next stream, and then
 // the one that the home counts.
 func TestReportLostWithStream(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSharedTasks(t, nil)
 	h := s.instances[s.holder()]
@@ -174,6 +177,7 @@
 // start still finds a free slot or is answered as not run, and no slot stays
 // reserved. Offers expired only with the next tick, up to 50 ms late.
 func TestOfferAnsweredAfterExpiry(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSharedTasks(t, func(sim *simulation) {
 		sim.onMessage = func(msg *message.Message) time.Duration {
@@ -216,6 +220,7 @@
 // TestPeerOfFormerRelease checks that tasks are served within their goal beside an
 // instance that reports no shares, or that ignores them.
 func TestPeerOfFormerRelease(t *testing.T) {
+	t.Parallel()
 	undivided := func(w *message.WaitingTasks) { w.Share = w.Tasks }
 	tests := []struct {
 		name     string
@@ -237,6 +242,7 @@
 // TestShareLargerThanTasks checks that a share in a report that is larger than the
 // number of tasks counts as that number.
 func TestShareLargerThanTasks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSharedTasks(t, changeShares(0, -1, func(w *message.WaitingTasks) { w.Share = 1 << 30 }))
 	shared := 0
--- a/pool/sharing_load_test.go
+++ b/pool/sharing_load_test.go
@@ -90,6 +90,7 @@
 // TestWavesOutOfPhase answers demand that moves between four data centres: each has
 // nearly twice its mean load while the opposite one has nearly none.
 func TestWavesOutOfPhase(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct{ cores, load float64 }{{1, 0.95}, {1, 1.1}, {0.144, 1.1}} {
 		t.Run(fmt.Sprintf("%.3f cores at %.2f", tt.cores, tt.load), func(t *testing.T) {
 			const period = 2 * time.Second
@@ -157,6 +158,7 @@
 // quarter of all slots' work for 200 ms arrives there within 50 ms while
 // nine tenths of all slots are busy.
 func TestBurstAtOneInstance(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		instances int
 		cores     float64
--- a/pool/sharing_test.go
+++ b/pool/sharing_test.go
@@ -49,6 +49,7 @@
 // 16 and with 29 peers, on machines of a whole core and of a seventh of one, which
 // report rarely.
 func TestOffersSumToWaitingTasks(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		instances int
 		cores     float64
--- a/pool/stop_test.go
+++ b/pool/stop_test.go
@@ -12,6 +12,7 @@
 
 // TestRefusedStopKeepsRun guards against counting a refused stop as accepted, after which the task started again next to its run.
 func TestRefusedStopKeepsRun(t *testing.T) {
+	t.Parallel()
 	for _, refusal := range []Outcome{Unhealthy, Invalid, Full, Late, Old} {
 		t.Run(refusal.String(), func(t *testing.T) {
 			is := is.New(t)
@@ -33,6 +34,7 @@
 // TestLostStartWithRefusedStops guards against a task that waits for the stop of
 // a run that never began.
 func TestLostStartWithRefusedStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	sim.addTrouble(2*time.Second, trouble{problem: refused, kinds: []orderKind{stopOrder}, share: 1})
@@ -50,6 +52,7 @@
 // that nothing waits for and whose stops are refused: its caller may have
 // submitted the job elsewhere.
 func TestLeaseEndsOrphanWithRefusedStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 1)
 	abandoned := sim.submit(0, routine, 5*time.Second, step(1, 4*time.Second))
@@ -69,6 +72,7 @@
 // endpoint that refuses all orders, polls included: its run ends with its lease, and
 // the task starts elsewhere.
 func TestTaskOnEndpointThatRefusesAll(t *testing.T) {
+	t.Parallel()
 	for _, refusal := range []problem{refused, invalid} {
 		t.Run(refusal.name, func(t *testing.T) {
 			is := is.New(t)
@@ -89,6 +93,7 @@
 // TestHungRunWithRefusedStops tests that a task whose run hangs starts elsewhere in
 // time, though the endpoint refuses the run's stops.
 func TestHungRunWithRefusedStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	for _, e := range sim.endpoints {
@@ -111,6 +116,7 @@
 // orphaned run whose stops are refused: one start shortly after the stop would end
 // before the caller asks elsewhere, later ones would not.
 func TestNoStartExtendsLeaseOfOrphan(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 1)
 	small := Step{Tasks: 1, Needs: needs(1), Estimate: 4 * time.Second}
@@ -131,6 +137,7 @@
 // TestLeaseUnderCancellations tests that callers that leave one after another do not
 // end the lease of other runs on the endpoint, though no stop is refused.
 func TestLeaseUnderCancellations(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 1)
 	sim.submit(0, &longQueue, 20*time.Second, step(1, 4*time.Second))
@@ -161,6 +168,7 @@
 // for the other runs of the endpoint. The observer fails the test if a second run
 // starts.
 func TestHomeGoneWhileStopsAreLost(t *testing.T) {
+	t.Parallel()
 	cutOff := func(sim *simulation) { sim.partitionInstances(0, 1, 4*time.Second) }
 	killed := func(sim *simulation) { sim.kill(0, false) }
 	tests := []homeGoneTest{
@@ -180,6 +188,7 @@
 // TestPowerLossWhileStopsAreLost is like TestHomeGoneWhileStopsAreLost for a home
 // whose loss the holder notices only by its silence.
 func TestPowerLossWhileStopsAreLost(t *testing.T) {
+	t.Parallel()
 	tests := []homeGoneTest{
 		{"no other runs", losePower, true, 0},
 		{"other runs keep the lease", losePower, true, 6},
--- a/pool/suspension_test.go
+++ b/pool/suspension_test.go
@@ -15,6 +15,7 @@
 // starts no waiting task, whichever input it handles first: the callers may have
 // sent their jobs again elsewhere.
 func TestInputBeforeTickAfterSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 1)
 	sim.advance(2 * time.Second)
@@ -38,6 +39,7 @@
 // steady clock does not count: neither a task that waited nor one whose run ended
 // starts here, since its caller may have submitted the job elsewhere.
 func TestUncountedSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 1)
 	sim.advance(2 * time.Second)
@@ -63,6 +65,7 @@
 // carry out a start that waited on its stream meanwhile: its home counts it as
 // lost and may have started the task elsewhere.
 func TestStartReadAfterSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim, m, a, _ := newHolder(t, 6)
 	out := &Output{}
@@ -77,6 +80,7 @@
 // a suspension is refused, since its caller may have submitted the job elsewhere,
 // and that later ones are served.
 func TestSubmitAfterSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	n := sim.instances[0]
@@ -98,6 +102,7 @@
 // TestStartsInFlightAfterSuspension tests that an instance that stood still does not
 // stop the runs whose answers wait unread: the missing answers are its own fault.
 func TestStartsInFlightAfterSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	c := sim.submit(0, &longQueue, 20*time.Second, step(1, 2*time.Second))
@@ -112,6 +117,7 @@
 // whose answer still waits unread, also if another input noticed the suspension just
 // before.
 func TestTickAfterResumingInput(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		input func(now time.Time, m *Machine, e *endpointState, out *Output)
@@ -141,6 +147,7 @@
 // TestRunEndsLongAfterSuspension guards against a task that starts again when its run
 // ends without success some time after a suspension that was noticed before.
 func TestRunEndsLongAfterSuspension(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 1, 1, 1)
 	sim.advance(2 * time.Second)
--- a/pool/task_size_test.go
+++ b/pool/task_size_test.go
@@ -50,6 +50,7 @@
 // count of tasks of the mean size was off by up to a half and jumped when the mean
 // passed a half of the endpoint.
 func TestFits(t *testing.T) {
+	t.Parallel()
 	rng := rand.New(rand.NewPCG(1, 1))
 	for _, mean := range []float64{6, 7.9, 8, 8.1, 10} {
 		for _, cores := range []float64{7, 16, 24} {
@@ -70,6 +71,7 @@
 
 // TestFitsLimits checks the limits other than the cores.
 func TestFitsLimits(t *testing.T) {
+	t.Parallel()
 	room := task.Needs{Cores: 16, MemoryBytes: 4 << 20}
 	tests := []struct {
 		name  string
@@ -100,6 +102,7 @@
 // TestSlotsOfUnevenSizes checks that all instances count about the same slots
 // while their averages of the tasks' sizes differ by the tasks that each has seen.
 func TestSlotsOfUnevenSizes(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newUnevenFleet(t, 1, 16, 96)
 	sim.generateMixedLoad(8*time.Second, 0.8)
@@ -120,6 +123,7 @@
 // tenths of what the endpoints are expected to run. At this load no job has to be
 // refused (2 % of each queue are allowed), and urgent jobs meet their goals.
 func TestLoadOfUnevenSizes(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newUnevenFleet(t, 1, 16, 96)
 	tallies := sim.generateMixedLoad(10*time.Second, 0.83)
@@ -154,6 +158,7 @@
 // slots of the instance stayed idle, and offers had to fit the largest waiting
 // task.
 func TestLargeTaskBlocksNoSmallerOne(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{1, 2} {
 		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
 			is := is.New(t)
@@ -174,6 +179,7 @@
 
 // TestTightFit checks that a task goes where it leaves the most room for others.
 func TestTightFit(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := startSimulation(t, 1, 1, 2)
 	sim.taskCores = func() float64 { return randomCores(sim.rng, 8) }
--- a/pool/view_load_test.go
+++ b/pool/view_load_test.go
@@ -12,6 +12,7 @@
 // TestOwnChangesSinceView checks that what an instance has admitted since the view
 // of its data centre was made counts at once, and only once when the view has it.
 func TestOwnChangesSinceView(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	patient := &route.Queue{Name: "patient", Service: "s", Priority: 2, Attempts: 3, SlackFactor: 20, Target: time.Second}
 	sim := newRegionalFleet(t, 30, 60) // 120 slots
--- a/pool/views_failures_test.go
+++ b/pool/views_failures_test.go
@@ -77,6 +77,7 @@
 // TestViewsCoverInstallation checks that all instances know all slots, while each
 // one's peers report only a part of them.
 func TestViewsCoverInstallation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newViewFleet(t)
 	sim.checkKnownSlots(time.Second, 1, 1, everyone)
@@ -93,6 +94,7 @@
 // TestMergerLost kills the first merger of a data centre. Its endpoints, an
 // eighth of those there, get other holders; all other slots stay known.
 func TestMergerLost(t *testing.T) {
+	t.Parallel()
 	sim := newViewFleet(t)
 	sim.kill(sim.merger("dc1", 0).index, false)
 	sim.checkKnownSlots(3*time.Second, least, most, everyone)
@@ -102,6 +104,7 @@
 // TestMergerSuspended suspends the first merger of a data centre. The second
 // one's view is used.
 func TestMergerSuspended(t *testing.T) {
+	t.Parallel()
 	sim := newViewFleet(t)
 	sim.suspend(sim.merger("dc1", 0).index, 2500*time.Millisecond)
 	sim.checkKnownSlots(2500*time.Millisecond, least, most, everyone)
@@ -111,6 +114,7 @@
 // TestBothMergersLost kills both mergers of a data centre at once. The next two
 // take over.
 func TestBothMergersLost(t *testing.T) {
+	t.Parallel()
 	sim := newViewFleet(t)
 	first, second := sim.merger("dc1", 0), sim.merger("dc1", 1)
 	sim.kill(first.index, true)
@@ -122,6 +126,7 @@
 // TestViewOfDataCentreCutOff cuts a data centre off. Each side soon knows just its
 // own slots, and all of them again afterwards.
 func TestViewOfDataCentreCutOff(t *testing.T) {
+	t.Parallel()
 	sim := newViewFleet(t)
 	inside := func(n *fakeInstance) bool { return n.self.DataCentre == "dc0" }
 	outside := func(n *fakeInstance) bool { return !inside(n) }
@@ -136,6 +141,7 @@
 // TestEvacuatedSlotsAreNotCounted checks that the slots of an evacuated data centre
 // leave admission at once and come back at once, inside it and outside.
 func TestEvacuatedSlotsAreNotCounted(t *testing.T) {
+	t.Parallel()
 	sim := newViewFleet(t)
 	evacuate := func(version uint64, dataCentres ...string) {
 		for _, n := range sim.instances {
@@ -155,6 +161,7 @@
 // TestFormerRelease has instances of the former release, which neither send nor
 // understand views, as the mergers of a data centre or among the others.
 func TestFormerRelease(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name            string
 		former          []int // ranks in dc1
@@ -179,6 +186,7 @@
 // TestInvalidViewIsIgnored sends views that can't be true. They are logged and
 // change nothing.
 func TestInvalidViewIsIgnored(t *testing.T) {
+	t.Parallel()
 	valid := func(from instance.Ref) message.DataCentreView {
 		return message.DataCentreView{DataCentre: from.DataCentre, Merger: from, Sequence: math.MaxUint64, Instances: 8, Capacities: []message.Capacity{{Service: "s", Slots: 100_000}}}
 	}
@@ -220,6 +228,7 @@
 // TestNoViewsInSmallInstallation checks that nothing is sent in an installation
 // of up to 17 instances, whose admission stays as it was.
 func TestNoViewsInSmallInstallation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	sim := newFleet(t, 1, 4, maxFullMesh, 2*maxFullMesh)
 	sim.advance(3 * time.Second)
@@ -231,6 +240,7 @@
 // TestMessagesOfViews checks that the messages for views grow with the number of
 // instances and not with its square.
 func TestMessagesOfViews(t *testing.T) {
+	t.Parallel()
 	perInstance := map[int]float64{}
 	for _, tt := range []struct{ dataCentres, instances int }{{4, 30}, {6, 147}, {5, 573}} {
 		t.Run(fmt.Sprint(tt.instances), func(t *testing.T) {
--- a/pool/views_load_test.go
+++ b/pool/views_load_test.go
@@ -239,6 +239,7 @@
 // peers, 0.040 of the jobs were refused with 147 instances, most of them while a
 // tenth of the slots was free.
 func TestWavesOfDataCentres(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct{ instances, endpoints int }{{30, 350}, {147, 700}} {
 		t.Run(fmt.Sprint(tt.instances), func(t *testing.T) {
 			sim := newRegionalFleet(t, tt.instances, tt.endpoints)
@@ -250,6 +251,7 @@
 // TestHeavyClassSurge has 2.5 times as many jobs of the heaviest queue for four
 // seconds.
 func TestHeavyClassSurge(t *testing.T) {
+	t.Parallel()
 	sim := newRegionalFleet(t, 30, 350)
 	surge := func(elapsed time.Duration, queue string) float64 {
 		if queue == longRunning.Name && elapsed > 2*time.Second && elapsed < 6*time.Second {
@@ -263,6 +265,7 @@
 // TestDataCentreCutOffBesideBurst cuts a data centre off while a burst comes that
 // either side can serve alone.
 func TestDataCentreCutOffBesideBurst(t *testing.T) {
+	t.Parallel()
 	sim := newRegionalFleet(t, 30, 350)
 	sim.after(2*time.Second, func() { sim.cutOffFirstDataCentre(5 * time.Second) })
 	surge := func(elapsed time.Duration, _ string) float64 {
@@ -303,6 +306,7 @@
 // excess could have been served beside the usual jobs: 0.6 s of work in 0.3 of the
 // slots.
 func TestRefusedCallersComeBack(t *testing.T) {
+	t.Parallel()
 	sim := newRegionalFleet(t, 30, 350)
 	const burstEnd = 4 * time.Second
 	surge := func(elapsed time.Duration, _ string) float64 {
@@ -324,6 +328,7 @@
 // free. No view of an earlier incarnation is used, and a second later as
 // much is served as before.
 func TestFullRestartWithRetries(t *testing.T) {
+	t.Parallel()
 	sim := newRegionalFleet(t, 30, 350)
 	sim.after(2*time.Second, func() {
 		for i := range sim.instances {
