task: the larger and the smaller of two needs, once

Change: Needs.Max and Needs.Min in task, the package of the type; both callers use them. Behaviour is the same.

--- a/capacity/merge.go
+++ b/capacity/merge.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/message"
-	"github.com/lovagecrank/lovagecrank/task"
 )
 
 // MaxReportAge is the age beyond which the backlog and the arrivals in a report
@@ -66,8 +65,8 @@
 	s.Share += w.Share
 	s.Work += w.Work
 	s.Slack = min(s.Slack, w.Slack)
-	s.Needs = combine(s.Needs, w.Needs, true)
-	s.Smallest = combine(s.Smallest, w.Smallest, false)
+	s.Needs = s.Needs.Max(w.Needs)
+	s.Smallest = s.Smallest.Min(w.Smallest)
 }
 
 // compareBacklog orders tasks of late jobs after all others, then by priority.
@@ -81,14 +80,6 @@
 	return cmp.Or(late(a)-late(b), cmp.Compare(a.Priority, b.Priority))
 }
 
-// combine returns the larger or the smaller of each resource.
-func combine(a, b task.Needs, larger bool) task.Needs {
-	if larger {
-		return task.Needs{Cores: max(a.Cores, b.Cores), MemoryBytes: max(a.MemoryBytes, b.MemoryBytes), Accelerators: max(a.Accelerators, b.Accelerators)}
-	}
-	return task.Needs{Cores: min(a.Cores, b.Cores), MemoryBytes: min(a.MemoryBytes, b.MemoryBytes), Accelerators: min(a.Accelerators, b.Accelerators)}
-}
-
 func addArrivals(sum *message.Capacity, a message.ArrivalRate) {
 	at, found := slices.BinarySearchFunc(sum.Arrivals, a, func(a, b message.ArrivalRate) int {
 		return cmp.Compare(a.Priority, b.Priority)
--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -235,7 +235,7 @@
 			w.Share++ // others can't be started on an offered slot
 		}
 		w.Work += step.Estimate
-		w.Needs = larger(w.Needs, step.Needs)
-		w.Smallest = smaller(w.Smallest, step.Needs)
+		w.Needs = w.Needs.Max(step.Needs)
+		w.Smallest = w.Smallest.Min(step.Needs)
 	}
 }
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -77,7 +77,7 @@
 		}
 		w.Tasks--
 		w.Share--
-		m.sendOffer(now, e, p, shareKey{service, w.Priority, w.Late}, smaller(w.Needs, e.remaining()), out)
+		m.sendOffer(now, e, p, shareKey{service, w.Priority, w.Late}, w.Needs.Min(e.remaining()), out)
 	}
 }
 
--- a/pool/task_size.go
+++ b/pool/task_size.go
@@ -128,19 +128,3 @@
 	}
 	return true
 }
-
-func smaller(a, b task.Needs) task.Needs {
-	return task.Needs{
-		Cores:        min(a.Cores, b.Cores),
-		MemoryBytes:  min(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: min(a.Accelerators, b.Accelerators),
-	}
-}
-
-func larger(a, b task.Needs) task.Needs {
-	return task.Needs{
-		Cores:        max(a.Cores, b.Cores),
-		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
--- a/task/task.go
+++ b/task/task.go
@@ -81,3 +81,21 @@
 		return "unknown"
 	}
 }
+
+// Max returns the larger of each resource.
+func (n Needs) Max(o Needs) Needs {
+	return Needs{
+		Cores:        max(n.Cores, o.Cores),
+		MemoryBytes:  max(n.MemoryBytes, o.MemoryBytes),
+		Accelerators: max(n.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller of each resource.
+func (n Needs) Min(o Needs) Needs {
+	return Needs{
+		Cores:        min(n.Cores, o.Cores),
+		MemoryBytes:  min(n.MemoryBytes, o.MemoryBytes),
+		Accelerators: min(n.Accelerators, o.Accelerators),
+	}
+}
