crash, pool: endpoints that are lost with runs are recorded and logged

Package crash keeps the losses of endpoints with their runs. A loss is a suspicion until a later boot, of the same ID or at the same address, proves the crash, or an answer of the same boot withdraws it. LC2085 to LC2087 and lovagecrank_endpoint_losses_total show it. No decision depends on it yet.

--- /dev/null
+++ b/crash/ledger.go
@@ -0,0 +1,229 @@
+package crash
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// lossTTL is how long a loss is known. Callers submit a lost job again after
+	// seconds, and an endpoint that crashed is back after seconds.
+	lossTTL = time.Minute
+	// maxLosses bounds the losses that are known; the oldest one goes first.
+	maxLosses = 1024
+	// MaxRuns is the maximum number of runs of one loss.
+	MaxRuns = 64
+)
+
+// The states of a loss.
+const (
+	// Suspected means that the endpoint does not answer.
+	Suspected State = iota
+	// Proved means that the endpoint has started again.
+	Proved
+	// Withdrawn means that the same boot of the endpoint has answered since.
+	Withdrawn
+	numStates
+)
+
+type (
+	// State is what is known of a loss.
+	State uint8
+
+	// Run is a run that may have been under way when its endpoint was lost.
+	Run struct {
+		// Task is the name of the task, and Queue that of its job's queue.
+		Task, Queue string
+	}
+
+	// Loss is the loss of one boot of an endpoint with the runs that it had.
+	Loss struct {
+		Endpoint string
+		Address  netip.AddrPort
+		// StartedAt is when the boot started; zero if unknown.
+		StartedAt time.Time
+		// At is when the endpoint was given up as lost, by this instance's clock.
+		At    time.Time
+		State State
+		Runs  []Run
+	}
+
+	// key names one boot of an endpoint. startedAtMS is in Unix milliseconds, the
+	// precision of messages.
+	key struct {
+		endpoint    string
+		startedAtMS int64
+	}
+
+	// Ledger is the account of the lost endpoints. It is not safe for concurrent
+	// use.
+	Ledger struct {
+		losses map[key]*Loss
+		// order has the keys in the order in which they were recorded.
+		order []key
+		// byTask has the losses of each task that are not withdrawn, in the order
+		// in which they were recorded.
+		byTask map[string][]*Loss
+	}
+)
+
+// NewLedger returns a ledger without losses.
+func NewLedger() *Ledger { return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}} }
+
+// Valid reports whether s is one of the states.
+func (s State) Valid() bool { return s < numStates }
+
+// String returns the state's name in snake case.
+func (s State) String() string {
+	switch s {
+	case Suspected:
+		return "suspected"
+	case Proved:
+		return "proved"
+	case Withdrawn:
+		return "withdrawn"
+	}
+	return "unknown"
+}
+
+func keyOf(endpoint string, startedAt time.Time) key {
+	if startedAt.IsZero() {
+		return key{endpoint: endpoint}
+	}
+	return key{endpoint, startedAt.UnixMilli()}
+}
+
+// Record adds a loss, or merges it with what is known of the same loss, and reports
+// whether that has changed anything. A loss that was withdrawn stays so unless the
+// endpoint was lost again later.
+func (l *Ledger) Record(loss Loss) (changed bool) {
+	k := keyOf(loss.Endpoint, loss.StartedAt)
+	known := l.losses[k]
+	if known != nil && known.State == Withdrawn && loss.State != Withdrawn && loss.At.After(known.At) {
+		l.remove(k)
+		known = nil
+	}
+	if known == nil {
+		l.add(k, loss)
+		return true
+	}
+	return l.merge(known, loss)
+}
+
+func (l *Ledger) add(k key, loss Loss) {
+	if len(l.order) >= maxLosses {
+		l.remove(l.order[0])
+	}
+	runs := loss.Runs
+	loss.Runs = nil
+	added := &loss
+	l.losses[k] = added
+	l.order = append(l.order, k)
+	l.addRuns(added, runs)
+}
+
+// merge adds what another instance knows of the same loss.
+func (l *Ledger) merge(known *Loss, loss Loss) (changed bool) {
+	changed = l.addRuns(known, loss.Runs)
+	if loss.State > known.State {
+		l.setState(known, loss.State)
+		changed = true
+	}
+	if known.State == Withdrawn && loss.At.After(known.At) {
+		known.At = loss.At
+	}
+	return changed
+}
+
+func (l *Ledger) addRuns(loss *Loss, runs []Run) (changed bool) {
+	for _, r := range runs {
+		if len(loss.Runs) >= MaxRuns || slices.ContainsFunc(loss.Runs, func(o Run) bool { return o.Task == r.Task }) {
+			continue
+		}
+		loss.Runs = append(loss.Runs, r)
+		if loss.State != Withdrawn {
+			l.byTask[r.Task] = append(l.byTask[r.Task], loss)
+		}
+		changed = true
+	}
+	return changed
+}
+
+func (l *Ledger) setState(loss *Loss, s State) {
+	loss.State = s
+	if s == Withdrawn {
+		l.forgetRuns(loss)
+	}
+}
+
+func (l *Ledger) forgetRuns(loss *Loss) {
+	for _, r := range loss.Runs {
+		rest := slices.DeleteFunc(l.byTask[r.Task], func(o *Loss) bool { return o == loss })
+		if len(rest) == 0 {
+			delete(l.byTask, r.Task)
+			continue
+		}
+		l.byTask[r.Task] = rest
+	}
+}
+
+func (l *Ledger) remove(k key) {
+	l.forgetRuns(l.losses[k])
+	delete(l.losses, k)
+	l.order = slices.DeleteFunc(l.order, func(o key) bool { return o == k })
+}
+
+// ObserveAnswer handles an answer of a boot of an endpoint to an order that was sent
+// at the given time. It returns the losses whose state has changed.
+func (l *Ledger) ObserveAnswer(now, sent time.Time, endpoint string, address netip.AddrPort, startedAt time.Time) []Loss {
+	if len(l.losses) == 0 {
+		return nil
+	}
+	changed := l.ObserveBoot(endpoint, address, startedAt)
+	if loss := l.losses[keyOf(endpoint, startedAt)]; loss != nil && loss.State == Suspected && sent.After(loss.At) {
+		l.setState(loss, Withdrawn)
+		loss.At = now
+		changed = append(changed, *loss)
+	}
+	return changed
+}
+
+// ObserveBoot handles the knowledge that an endpoint has a boot at an address, as
+// listed or as it answers. A later boot of the same endpoint, or of another one at
+// the same address, proves that the lost one is over. It returns the losses whose
+// state has changed.
+func (l *Ledger) ObserveBoot(endpoint string, address netip.AddrPort, startedAt time.Time) (changed []Loss) {
+	if startedAt.IsZero() {
+		return nil
+	}
+	for _, k := range l.order {
+		loss := l.losses[k]
+		same := loss.Endpoint == endpoint || loss.Address == address
+		if loss.State != Suspected || !same || loss.StartedAt.IsZero() || !startedAt.After(loss.StartedAt) || keyOf(endpoint, startedAt) == k {
+			continue
+		}
+		l.setState(loss, Proved)
+		changed = append(changed, *loss)
+	}
+	return changed
+}
+
+// Expire forgets the losses that are older than lossTTL.
+func (l *Ledger) Expire(now time.Time) {
+	for _, k := range slices.Clone(l.order) {
+		if now.Sub(l.losses[k].At) > lossTTL {
+			l.remove(k)
+		}
+	}
+}
+
+// Losses returns the losses in the order in which they were recorded, without the
+// tasks' names being shared.
+func (l *Ledger) Losses() []Loss {
+	list := make([]Loss, 0, len(l.order))
+	for _, k := range l.order {
+		list = append(list, *l.losses[k])
+	}
+	return list
+}
--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -41,6 +41,8 @@
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
+		// EndpointsLost counts the held endpoints that were lost with runs.
+		EndpointsLost EndpointLosses
 		// ProfilesSent and ProfilesReceived count the messages with profiles.
 		ProfilesSent, ProfilesReceived int
 		// Evacuated are the data centres that are evacuated.
@@ -51,6 +53,11 @@
 		Offers Offers
 	}
 
+	// EndpointLosses counts endpoints that were lost with runs. Suspected counts all
+	// of them, Proved those that have started again, and Withdrawn those that were
+	// only silent.
+	EndpointLosses struct{ Suspected, Proved, Withdrawn int }
+
 	// DataCentreView is what the instance knows of the slots of a data centre.
 	DataCentreView struct {
 		DataCentre string
@@ -141,6 +148,9 @@
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
 	dst.add(heldRuns, float64(s.Runs))
+	dst.add(endpointLosses, float64(s.EndpointsLost.Suspected), "suspected")
+	dst.add(endpointLosses, float64(s.EndpointsLost.Proved), "proved")
+	dst.add(endpointLosses, float64(s.EndpointsLost.Withdrawn), "withdrawn")
 	dst.add(profileMessages, float64(s.ProfilesSent), "sent")
 	dst.add(profileMessages, float64(s.ProfilesReceived), "received")
 	dst.addPeers(s.Peers)
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -55,7 +55,7 @@
 func scrapeRunner(t *testing.T) string {
 	j := NewRunnerSet(func() RunnerSnapshot {
 		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4},
-			Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}, Views: []DataCentreView{
+			EndpointsLost: EndpointLosses{Suspected: 5, Proved: 3, Withdrawn: 1}, Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}, Views: []DataCentreView{
 				{DataCentre: "dc0", Age: 500 * time.Millisecond, Services: []ServiceSlots{{Service: "s", Slots: 8, Free: 3}}},
 			}}
 	})
@@ -78,6 +78,9 @@
 	for _, line := range []string{
 		`lovagecrank_answer_seconds_count{outcome="complete",queue="q",reason=""} 1`,
 		`lovagecrank_open_jobs 2`,
+		`lovagecrank_endpoint_losses_total{state="suspected"} 5`,
+		`lovagecrank_endpoint_losses_total{state="proved"} 3`,
+		`lovagecrank_endpoint_losses_total{state="withdrawn"} 1`,
 		`lovagecrank_offers_total 9`,
 		`lovagecrank_offers_ended_total{outcome="taken"} 6`,
 		`lovagecrank_offers_ended_total{outcome="declined"} 2`,
--- a/metric/table.go
+++ b/metric/table.go
@@ -36,6 +36,7 @@
 	openJobs
 	heldRuns
 	profileMessages
+	endpointLosses
 	evacuatedDataCentres
 	offersSent
 	offersEnded
@@ -110,6 +111,7 @@
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
+	endpointLosses:       {"lovagecrank_endpoint_losses_total", counter, "endpoints", []string{"state"}, "On the platform: endpoints that this instance held and that were lost with runs, by state: suspected counts all, proved those that have started again, withdrawn those that were only silent.", "If proved ones rise, look in the log at LC2086 for tasks that several of them have in common. If withdrawn ones rise, check the network to the endpoints."},
 	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
 	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
@@ -163,10 +164,14 @@
 		status    statusState
 		freeSlots freeSlotsState
 		judge     judge
-		profiles  profilesState
-		views     viewState
-		refusals  refusals
-		routes    routeChoice
+		// losses are the endpoints that were lost with runs, and lossCounts counts
+		// those that were held here.
+		losses     *crash.Ledger
+		lossCounts LossCounts
+		profiles   profilesState
+		views      viewState
+		refusals   refusals
+		routes     routeChoice
 	}
 )
 
@@ -195,6 +200,7 @@
 		shares:        newShares(cfg.Self.ID),
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
+		losses:        crash.NewLedger(),
 		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
 		profiles:      newProfilesState(now),
 		views:         viewState{reports: map[instance.Ref]receivedReport{}},
@@ -258,6 +264,9 @@
 // was known.
 func (m *Machine) setEndpoint(now time.Time, info endpoint.Info, out *Output) (known bool) {
 	e, ok := m.endpoints[info.ID]
+	if !ok || info.StartedAt.After(e.info.StartedAt) || info.Address != e.info.Address {
+		m.applyLossChanges(m.losses.ObserveBoot(info.ID, info.Address, info.StartedAt), out)
+	}
 	if !ok {
 		e = newEndpointState(info)
 		e.applyListed(now, info)
@@ -346,6 +355,7 @@
 	m.expireReportedEnds(now)
 	m.runNumbers.expire(now)
 	m.maintainJudge(now, out)
+	m.losses.Expire(now)
 	m.broadcastProfiles(now, out)
 	m.refusals.expire(now)
 	m.forgetReports()
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -142,8 +142,10 @@
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
 		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
+		m.recordLoss(now, e, out)
 		m.adoptNewBoot(now, e, out)
 	}
+	m.applyLossChanges(m.losses.ObserveAnswer(now, reply.Sent, e.info.ID, e.info.Address, reply.StartedAt), out)
 	e.info.StartedAt = reply.StartedAt
 	if otherBoot && e.active {
 		m.judgeActivated(now, e, out)
@@ -289,6 +291,7 @@
 // restarted or its lease expired. Starts that are still in flight may reach the
 // next boot, so their outcome is unconfirmed.
 func (m *Machine) releaseEnded(now time.Time, e *endpointState, out *Output) {
+	m.recordLoss(now, e, out)
 	for _, r := range e.sortedRuns() {
 		if r.startedAt.IsZero() {
 			m.reportRun(now, e, r, run.Unconfirmed, out)
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -24,6 +24,8 @@
 	// Ejected counts the held endpoints that get no work because their runs
 	// fail. ProfilesSent and ProfilesReceived count the messages with profiles.
 	Ejected, ProfilesSent, ProfilesReceived int
+	// Losses counts the held endpoints that were lost with runs.
+	Losses LossCounts
 	// Evacuated are the data centres whose endpoints get no work at an operator's
 	// request.
 	Evacuated []string
@@ -47,7 +49,7 @@
 func (m *Machine) View(now time.Time) View {
 	v := View{
 		Jobs: len(m.jobs), Connected: make([]instance.Ref, 0, len(m.sortedPeers)), Waiting: map[string]int{},
-		Evacuated: m.evacuations.inForce.DataCentres, Offers: m.offerCounts,
+		Evacuated: m.evacuations.inForce.DataCentres, Offers: m.offerCounts, Losses: m.lossCounts,
 	}
 	for _, j := range m.jobs {
 		if !j.mayHaveStarted() {
