pool: a task that crashes its endpoints, red, and endpoints that crash in the virtual world

Beside it the home dies, is suspended or cut off, the caller asks elsewhere, or other endpoints are silent.

--- /dev/null
+++ b/pool/crashes_test.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/fault"
+)
+
+// crashDeadline is how long the callers of jobs with crashing tasks wait, unless a
+// test says otherwise: long enough for several crashes, each of which is proved after
+// crashDowntime.
+const crashDeadline = 20 * time.Second
+
+// crashCase is a job with a task that crashes its endpoints, beside something else
+// that goes wrong.
+type crashCase struct {
+	name    string
+	disturb func(sim *simulation, c *callerJob)
+}
+
+// every calls do each period until the job is answered or its deadline has passed.
+func (sim *simulation) every(period time.Duration, c *callerJob, do func()) {
+	sim.after(period, func() {
+		if sim.now.After(c.job.Deadline) || len(c.answers) > 0 && c.answers[len(c.answers)-1].Kind == fault.TaskFailed {
+			return
+		}
+		do()
+		sim.every(period, c, do)
+	})
+}
+
+// homeOf returns the index of the instance that handles the job; -1 if none does.
+func (sim *simulation) homeOf(c *callerJob) int {
+	for _, n := range sim.instances {
+		if n.alive && n.machine.HasJob(c.job.ID) {
+			return n.index
+		}
+	}
+	return -1
+}
+
+var crashCases = []crashCase{
+	{"nothing else", func(*simulation, *callerJob) {}},
+	{"the home is killed once", func(sim *simulation, c *callerJob) {
+		sim.after(500*time.Millisecond, func() { sim.killForWhile(sim.homeOf(c), false) })
+	}},
+	{"the home loses power after the second crash", func(sim *simulation, c *callerJob) {
+		sim.after(1500*time.Millisecond, func() { sim.killForWhile(sim.homeOf(c), true) })
+	}},
+	{"the home is killed every 4 s", func(sim *simulation, c *callerJob) {
+		sim.every(4*time.Second, c, func() { sim.killForWhile(sim.homeOf(c), false) })
+	}},
+	{"the home is suspended", func(sim *simulation, c *callerJob) {
+		sim.after(2*time.Second, func() {
+			if home := sim.homeOf(c); home >= 0 {
+				sim.suspend(home, 3*time.Second)
+			}
+		})
+	}},
+	{"the caller asks elsewhere every 2 s", func(sim *simulation, c *callerJob) {
+		at := 0
+		sim.every(2*time.Second, c, func() { at++; sim.sendJob(c, at%len(sim.instances)) })
+	}},
+	{"the home is cut off from its peers", func(sim *simulation, c *callerJob) {
+		sim.after(time.Second, func() {
+			home := sim.homeOf(c)
+			for i := range sim.instances {
+				if home >= 0 && i != home {
+					sim.partitionInstances(home, i, 4*time.Second)
+				}
+			}
+		})
+	}},
+	{"another endpoint is silent now and then", func(sim *simulation, c *callerJob) {
+		sim.every(time.Second, c, func() {
+			e := sim.randomEndpoint()
+			for n := range sim.instances {
+				sim.partitionEndpoint(n, e.index, 1500*time.Millisecond)
+			}
+		})
+	}},
+}
+
+// killForWhile kills an instance, which starts again after two seconds.
+func (sim *simulation) killForWhile(i int, powerLoss bool) {
+	if i < 0 || !sim.instances[i].alive {
+		return
+	}
+	sim.kill(i, powerLoss)
+	sim.after(2*time.Second, func() { sim.startInstance(i) })
+}
+
+// TestTaskThatCrashesEndpoints guards against a task that crashes endpoint after
+// endpoint: it is given up after the second or third, also if its home dies meanwhile
+// or its caller asks elsewhere, and its caller hears that it has failed.
+func TestTaskThatCrashesEndpoints(t *testing.T) {
+	t.Parallel()
+	for _, same := range []bool{false, true} {
+		for _, tt := range crashCases {
+			for seed := uint64(1); seed <= 6; seed++ {
+				t.Run(fmt.Sprintf("%s/same ID %t/%d", tt.name, same, seed), func(t *testing.T) {
+					is := is.New(t)
+					sim := startSimulation(t, seed, 4, 12)
+					sim.crashedReturnSame = same
+					c := sim.submitCrashing(int(seed)%4, 1, 60*time.Millisecond, crashDeadline)
+					tt.disturb(sim, c)
+					sim.advance(crashDeadline + time.Second) // the observer counts the starts
+					is.True(len(c.answers) > 0)
+					last := c.answers[len(c.answers)-1]
+					is.True(last != nil)
+					is.Equal(last.Kind, fault.TaskFailed)
+					t.Logf("%d crashes, answered after %s: %v", sim.observer.crashes[taskName(c.job.ID, 0, 0)], c.answeredAt.Sub(c.job.Deadline.Add(-crashDeadline)), last)
+				})
+			}
+		}
+	}
+}
--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -45,6 +46,9 @@
 		leaving    fakeLeaving
 		// coldUntil is until when runs that start take coldSlowdown times as long.
 		coldUntil time.Time
+		// predecessor is the endpoint that this one has replaced after a crash; nil if
+		// there is none.
+		predecessor *fakeEndpoint
 		// fullRefusals counts the starts refused as Full, startCount the others and
 		// lostRuns the runs that ended because the endpoint did.
 		fullRefusals, startCount, lostRuns int
@@ -69,7 +73,7 @@
 	e := &fakeEndpoint{sim: sim, index: i, up: true, slowdown: 1}
 	e.info = endpoint.Info{
 		ID:         fmt.Sprintf("e%02d", i),
-		Address:    address,
+		Address:    netip.AddrPortFrom(address.Addr(), uint16(1+i)),
 		DataCentre: sim.dataCentre(i),
 		Rack:       fmt.Sprintf("r%d", i/3),
 		Slots:      8,
@@ -154,6 +158,7 @@
 	e.runs[s.Run] = r
 	e.startCount++
 	e.sim.observer.runStarted(e, s)
+	e.crashAfterStart(s.Run.Task)
 	if !e.hangs {
 		e.sim.after(r.duration, func() { e.end(r, statusOf(ok && !e.fails)) })
 	}
--- a/pool/observer_test.go
+++ b/pool/observer_test.go
@@ -26,6 +26,9 @@
 	startsByDataCentre map[string]int
 	starts             int
 	ends               map[run.Status]int
+	// crashes counts the endpoints that each task has crashed, and startsAfter its
+	// starts after maxCrashes of them.
+	crashes, startsAfter map[string]int
 	// interrupted counts the runs that were stopped or expired, by endpoint ID.
 	interrupted map[string]int
 }
@@ -41,6 +44,8 @@
 		startsByDataCentre: map[string]int{},
 		ends:               map[run.Status]int{},
 		interrupted:        map[string]int{},
+		crashes:            map[string]int{},
+		startsAfter:        map[string]int{},
 	}
 }
 
@@ -76,6 +81,7 @@
 	if c := o.jobs[jobIDOf(name)]; c.refused > 0 && c.refused == c.attempts {
 		o.sim.t.Errorf("task %s starts though its job was refused as not run", name)
 	}
+	o.checkCrashes(name)
 	if e.info.Draining {
 		o.sim.t.Errorf("task %s starts on %s, which is draining", name, e.info.ID)
 	}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -63,6 +63,9 @@
 		// troubles are the troubles that orders have now.
 		troubles    []*trouble
 		evacuations evacuationRequests
+		// crashedReturnSame makes endpoints that a task has crashed return under
+		// the same ID.
+		crashedReturnSame bool
 		// startTransferTime is how long an instance's link needs to send one
 		// start; the starts of an instance are sent one after another.
 		startTransferTime time.Duration
