crash, pool: a task that crashes its endpoints is given up

Callers saw: one task crashed endpoint after endpoint until its deadline, and heard only that the deadline had passed; everybody else lost the room of the crashed endpoints.

Cause: a run that was lost with its endpoint was queued again without bound. Only failed runs counted, and only at the home. Class of fault: a retry without memory.

Change: each loss of an endpoint that was not announced is kept with its runs, by all instances (message EndpointLosses, sent before the homes hear of the ends, and to peers that join). A loss is a suspicion until a later boot proves it or an answer of the same boot withdraws it. A task with one loss is placed apart from others if there is room. With two it waits for the proof and is given up if both are proved and it ran alone once, or if three are; else its next run has an endpoint for itself. Without proof it starts alone after 6 s, and not again after four losses. While tasks of a queue have crashed endpoints, those of that queue wait for the proof of their first loss: most of them are guilty, and their answers would come too late. A job that waits so is not said not to have run.

Ruled out: giving up on suspicion (silent endpoints, TestSilentEndpointsGiveUpNoTask); a count at the home (it dies with it).

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,7 +25,6 @@
 	Proved
 	// Withdrawn means that the same boot of the endpoint has answered since.
 	Withdrawn
-	numStates
 )
 
 type (
@@ -47,6 +47,8 @@
 		At    time.Time
 		State State
 		Runs  []Run
+		// Own reports that this instance gave the endpoint up itself.
+		Own bool
 	}
 
 	// key names one boot of an endpoint. startedAtMS is in Unix milliseconds, the
@@ -65,14 +67,16 @@
 		// byTask has the losses of each task that are not withdrawn, in the order
 		// in which they were recorded.
 		byTask map[string][]*Loss
+		// crashingUntil is until when tasks of a queue count as likely to crash
+		// endpoints, by queue.
+		crashingUntil map[string]time.Time
 	}
 )
 
 // NewLedger returns a ledger without losses.
-func NewLedger() *Ledger { return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}} }
-
-// Valid reports whether s is one of the states.
-func (s State) Valid() bool { return s < numStates }
+func NewLedger() *Ledger {
+	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, crashingUntil: map[string]time.Time{}}
+}
 
 // String returns the state's name in snake case.
 func (s State) String() string {
@@ -121,11 +125,13 @@
 	l.losses[k] = added
 	l.order = append(l.order, k)
 	l.addRuns(added, runs)
+	l.blameQueues(added)
 }
 
 // merge adds what another instance knows of the same loss.
 func (l *Ledger) merge(known *Loss, loss Loss) (changed bool) {
 	changed = l.addRuns(known, loss.Runs)
+	known.Own = known.Own || loss.Own
 	if loss.State > known.State {
 		l.setState(known, loss.State)
 		changed = true
@@ -133,6 +139,9 @@
 	if known.State == Withdrawn && loss.At.After(known.At) {
 		known.At = loss.At
 	}
+	if changed {
+		l.blameQueues(known)
+	}
 	return changed
 }
 
@@ -204,6 +213,7 @@
 			continue
 		}
 		l.setState(loss, Proved)
+		l.blameQueues(loss)
 		changed = append(changed, *loss)
 	}
 	return changed
@@ -216,10 +226,10 @@
 			l.remove(k)
 		}
 	}
+	maps.DeleteFunc(l.crashingUntil, func(_ string, until time.Time) bool { return now.After(until) })
 }
 
-// Losses returns the losses in the order in which they were recorded, without the
-// tasks' names being shared.
+// Losses returns the losses in the order in which they were recorded.
 func (l *Ledger) Losses() []Loss {
 	list := make([]Loss, 0, len(l.order))
 	for _, k := range l.order {
--- /dev/null
+++ b/crash/verdict.go
@@ -0,0 +1,124 @@
+package crash
+
+import (
+	"time"
+)
+
+const (
+	// proofWait is how long after a loss its proof or its withdrawal is waited for. A
+	// crashed endpoint is back after some seconds, and listed after one heartbeat.
+	proofWait = 6 * time.Second
+	// queueTTL is how long the tasks of a queue count as likely to crash endpoints
+	// after one of them has.
+	queueTTL = 10 * time.Second
+	// The proved losses after which a task is given up: fewer if it ran alone at one
+	// of them, since an endpoint runs several tasks and only one of them is to blame.
+	maxProvedAlone  = 2
+	maxProvedShared = 3
+	// maxUnproved is the number of losses of a task after which it is not started again
+	// before their proof, however long that takes.
+	maxUnproved = 4
+)
+
+// The verdicts on a task that may start again.
+const (
+	// Free means that no endpoint was lost with the task.
+	Free Verdict = iota
+	// Apart means that the task should share its endpoint with as few others as
+	// possible.
+	Apart
+	// Alone means that the task must have an endpoint for itself, so that its outcome
+	// clears or convicts it.
+	Alone
+	// Wait means that the task must not start until the losses are proved or
+	// withdrawn.
+	Wait
+	// GiveUp means that it is proved that the task crashes endpoints.
+	GiveUp
+)
+
+type (
+	// Verdict is how a task may start again.
+	Verdict uint8
+
+	// History is what is known of the endpoints that were lost with a task.
+	History struct {
+		// Losses counts the losses that are not withdrawn, and Proved those of them
+		// that are proved. Alone counts the proved ones at which the task was the only
+		// one.
+		Losses, Proved, Alone int
+		// Last is the endpoint that was lost last, and LastAt when.
+		Last   string
+		LastAt time.Time
+	}
+)
+
+// String returns the verdict's name in snake case.
+func (v Verdict) String() string {
+	return [...]string{"free", "apart", "alone", "wait", "give_up"}[v]
+}
+
+// Suspected reports whether an endpoint was lost with the task.
+func (l *Ledger) Suspected(task string) bool { return len(l.byTask[task]) > 0 }
+
+// History returns what is known of the endpoints that were lost with a task.
+func (l *Ledger) History(task string) History {
+	var h History
+	for _, loss := range l.byTask[task] {
+		h.Losses++
+		if loss.State == Proved {
+			h.Proved++
+			if len(loss.Runs) == 1 {
+				h.Alone++
+			}
+		}
+		if !loss.At.Before(h.LastAt) {
+			h.Last, h.LastAt = loss.Endpoint, loss.At
+		}
+	}
+	return h
+}
+
+// Verdict returns how a task of a queue may start again, and until when that holds if
+// it is Wait.
+func (l *Ledger) Verdict(now time.Time, task, queue string) (v Verdict, until time.Time) {
+	h := l.History(task)
+	provedBy := h.LastAt.Add(proofWait)
+	if h.Losses >= maxUnproved {
+		provedBy = h.LastAt.Add(lossTTL)
+	}
+	waits := h.Proved < h.Losses && now.Before(provedBy)
+	switch {
+	case h.Losses == 0:
+		return Free, time.Time{}
+	case h.Proved >= maxProvedShared || h.Proved >= maxProvedAlone && h.Alone > 0:
+		return GiveUp, time.Time{}
+	case h.Losses == 1 && !l.crashing(now, queue):
+		return Apart, time.Time{}
+	case waits:
+		return Wait, provedBy
+	}
+	return Alone, time.Time{}
+}
+
+// crashing reports whether tasks of the queue are likely to crash endpoints.
+func (l *Ledger) crashing(now time.Time, queue string) bool {
+	return now.Before(l.crashingUntil[queue])
+}
+
+// blameQueues marks the queues of the tasks of a loss that were lost with another
+// endpoint too, if at least one of the losses is proved.
+func (l *Ledger) blameQueues(loss *Loss) {
+	for _, r := range loss.Runs {
+		if h := l.History(r.Task); r.Queue != "" && h.Losses > 1 && h.Proved > 0 {
+			l.crashingUntil[r.Queue] = later(l.crashingUntil[r.Queue], h.LastAt.Add(queueTTL))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/event/table.go
+++ b/event/table.go
@@ -58,6 +58,7 @@
 	EndpointLost
 	EndpointCrashProved
 	EndpointLossWithdrawn
+	TaskSuspected
 	numKinds
 )
 
@@ -119,6 +120,7 @@
 	EndpointLost:          row("LC2085", catalogue.Warning, "Endpoint lost with runs", "An endpoint that was not announced to leave has not answered for longer than its lease, or has started again, and had runs. The log gives their tasks. One of them may have crashed it.", "If the same task, or tasks of the same job, are named for several endpoints, look at what they do."),
 	EndpointCrashProved:   row("LC2086", catalogue.Warning, "Endpoint crash proved", "An endpoint that was lost with runs has started again, or another one has at its address.", "As for LC2085."),
 	EndpointLossWithdrawn: row("LC2087", catalogue.Info, "Endpoint loss withdrawn", "An endpoint that was lost with runs answers again without a restart. It was only silent, and no task is suspected for it.", "Check the network to the endpoint."),
+	TaskSuspected:         row("LC2088", catalogue.Info, "Task suspected", "A task that waits was lost with endpoints, so that it may have crashed them. The log gives how it may start again: apart from others if possible, alone on an endpoint, not before the losses are proved or withdrawn (wait), as any other (free), or not at all (give_up).", "If it is given up, look at what the task does."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/message/pool.go
+++ b/message/pool.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/run"
 	"github.com/lovagecrank/lovagecrank/task"
@@ -150,9 +151,31 @@
 		MedianRatio, TailRatio float64
 	}
 
+	// EndpointLosses carries what the sender knows of endpoints that were lost with
+	// runs. The receiver merges it with what it knows itself.
+	EndpointLosses struct {
+		Losses []EndpointLoss
+	}
+
+	// EndpointLoss is the loss of one boot of an endpoint; see package crash.
+	EndpointLoss struct {
+		Endpoint string
+		Address  netip.AddrPort
+		// StartedAt is when the boot started; zero if unknown.
+		StartedAt time.Time
+		// Age is the time since the loss, or since it was withdrawn, at the time of
+		// sending.
+		Age   time.Duration
+		State crash.State
+		Runs  []crash.Run
+	}
+
 	// StartRun asks the holder to run a task.
 	StartRun struct {
-		Run     run.Ref
+		Run run.Ref
+		// Queue is the name of the queue of the task's job; empty from an instance of
+		// an earlier release.
+		Queue   string
 		Service string
 		// Spec is the job's Spec, passed to the endpoint unchanged.
 		Spec  string
@@ -277,3 +300,4 @@
 func (ListChange) body()                   {}
 func (DataCentreViews) body()              {}
 func (Profiles) body()                     {}
+func (EndpointLosses) body()               {}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagecrank/lovagecrank/class"
 	"github.com/lovagecrank/lovagecrank/configuration"
+	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/job"
@@ -89,9 +90,13 @@
 			Queues: []message.QueueProfile{{Queue: "q", Samples: 9, MedianRatio: 1.5, TailRatio: 7}},
 		},
 		message.StartRun{
-			Run: run.Ref{Task: "t", Number: 2}, Service: "s", Spec: "x", Needs: testNeeds, Estimate: time.Second,
+			Run: run.Ref{Task: "t", Number: 2}, Queue: "q", Service: "s", Spec: "x", Needs: testNeeds, Estimate: time.Second,
 			Requires: "l", Rack: "r", Avoid: []string{"w"}, Offer: 7, NotifyStart: true,
 		},
+		message.EndpointLosses{Losses: []message.EndpointLoss{{
+			Endpoint: "w", Address: netip.MustParseAddrPort("10.0.0.1:7"), StartedAt: time.UnixMilli(5), Age: time.Second,
+			State: crash.Proved, Runs: []crash.Run{{Task: "t", Queue: "q"}},
+		}}},
 		message.Runs{Runs: []run.Ref{{Task: "t", Number: 2}}},
 		message.StopRun{Run: run.Ref{Task: "t", Number: 2}},
 		message.RunUpdate{Run: run.Ref{Task: "t", Number: 2}, Status: run.Done, Endpoint: "w", Free: 3, Ran: time.Second},
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -53,6 +53,8 @@
 		return decodeViews(b.DataCentreViews)
 	case *wire.Message_Profiles:
 		return decodeProfiles(b.Profiles)
+	case *wire.Message_EndpointLosses:
+		return decodeLosses(b.EndpointLosses)
 	}
 	return nil, errUnknownBody
 }
@@ -100,6 +102,7 @@
 	}
 	return message.StartRun{
 		Run:      r,
+		Queue:    w.GetQueue(),
 		Service:  w.GetService(),
 		Spec:     w.GetSpec(),
 		Needs:    needs,
@@ -110,7 +113,7 @@
 		Offer:    w.GetOffer(),
 
 		NotifyStart: w.GetTellStart(),
-	}, nil
+	}, checkName(w.GetQueue())
 }
 
 func decodeFreeSlots(w *wire.Vacancies) (message.Body, error) {
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -54,6 +54,8 @@
 		w.Body = &wire.Message_DataCentreViews{DataCentreViews: encodeViews(b)}
 	case message.Profiles:
 		w.Body = &wire.Message_Profiles{Profiles: encodeProfiles(b)}
+	case message.EndpointLosses:
+		w.Body = &wire.Message_EndpointLosses{EndpointLosses: encodeLosses(b)}
 	default:
 		return fmt.Errorf("message of type %T has no wire form; add it to peer.proto", body)
 	}
@@ -65,6 +67,7 @@
 func encodeStartRun(b message.StartRun) *wire.StartRun {
 	return &wire.StartRun{
 		Run:        encodeRun(b.Run),
+		Queue:      b.Queue,
 		Service:    b.Service,
 		Spec:       b.Spec,
 		Needs:      encodeNeeds(b.Needs),
--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -119,3 +119,66 @@
 		}
 	}
 }
+
+// TestSilentEndpointsGiveUpNoTask guards against giving up a sound task because the
+// endpoints that ran it were silent: they answer again, so that nothing is proved.
+func TestSilentEndpointsGiveUpNoTask(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 8; seed++ {
+		for _, refuse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("refused %t/%d", refuse, seed), func(t *testing.T) {
+				is := is.New(t)
+				sim := startSimulation(t, seed, 4, 12)
+				sim.refuseConnections = refuse
+				c := sim.submit(0, &longQueue, 60*time.Second, step(1, 900*time.Millisecond))
+				for range 4 { // the endpoint that runs the task is cut off each time
+					sim.advance(500 * time.Millisecond)
+					for _, e := range sim.endpoints {
+						if len(e.runs) > 0 {
+							for n := range sim.instances {
+								sim.partitionEndpoint(n, e.index, 2500*time.Millisecond)
+							}
+						}
+					}
+					sim.advance(3 * time.Second)
+				}
+				sim.advance(20 * time.Second)
+				is.Equal(len(c.answers), 1)
+				is.True(c.answers[0] == nil) // complete
+			})
+		}
+	}
+}
+
+// TestSoundTasksBesideCrashingOnes guards against the blame of tasks that ran beside
+// one that crashed their endpoint: none of their jobs is given up. The tasks that crash
+// endpoints are in a tenth of the urgent jobs for 10 s, at 50 % load.
+func TestSoundTasksBesideCrashingOnes(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(t, seed, 4, 48)
+			tallies := sim.generateMixedLoad(16*time.Second, 0.5)
+			var crashing []*callerJob
+			for i := range 20 {
+				sim.after(time.Duration(2000+500*i)*time.Millisecond, func() {
+					crashing = append(crashing, sim.submitCrashing(sim.rng.IntN(4), 8, 60*time.Millisecond, 2500*time.Millisecond))
+				})
+			}
+			sim.advance(24 * time.Second)
+			crashes := 0
+			for _, n := range sim.observer.crashes {
+				crashes += n
+			}
+			logTallies(t, tallies)
+			t.Logf("%d crashes by %d tasks, served %.3f, in goal %.3f", crashes, len(crashing), servedShare(tallies), goalShare(tallies))
+			for _, c := range sim.observer.jobs {
+				for _, f := range c.answers {
+					is.True(c.job.Spec == crashingSpec || f == nil || f.Kind != fault.TaskFailed)
+				}
+			}
+			is.True(crashes <= 2*len(crashing)) // no task crashes a third endpoint within its deadline
+		})
+	}
+}
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -117,7 +117,12 @@
 		pendingStops int
 		used         task.Needs
 		reserved     int
-		health       health
+		// suspects is the number of runs of suspected tasks, and isolatedFor the task
+		// that has the endpoint for itself, now or once its other runs have ended;
+		// empty if there is none.
+		suspects    int
+		isolatedFor string
+		health      health
 		// usableSlots is how many runs at once the judgement of the endpoint's
 		// health leaves it, and speed the learnt speed; zero while it is not
 		// active. failedShare is the share of its recent runs that failed, and
@@ -145,8 +150,13 @@
 		cold           bool
 		// queue is the name under which run times are compared: the queue if it
 		// is known here, else the service.
-		queue  string
-		sentAt time.Time
+		queue string
+		// jobQueue is the name of the queue of the task's job; empty if it is not
+		// known. suspected reports that an endpoint had been lost with the task
+		// before.
+		jobQueue  string
+		suspected bool
+		sentAt    time.Time
 		// until is when the start is refused as late, on the endpoint's clock.
 		until time.Duration
 		// maySpanBoots reports that the start may have reached an earlier boot of
@@ -194,7 +204,7 @@
 	e.token, e.active, e.releasing = 0, false, false
 	e.lastEnd, e.ackedEnd, e.maxLeaseEnd = 0, 0, 0
 	e.used, e.reserved = task.Needs{}, 0
-	e.pendingStops = 0
+	e.pendingStops, e.suspects, e.isolatedFor = 0, 0, ""
 	clear(e.runs)
 }
 
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 	"github.com/lovagecrank/lovagecrank/instance"
@@ -110,6 +111,8 @@
 		// declined counts the starts that a holder did not send to an endpoint,
 		// for the log.
 		declined int
+		// verdict is the last one on the task that was logged.
+		verdict  crash.Verdict
 		state    taskState
 		holder   instance.Ref
 		endpoint string
@@ -232,6 +235,15 @@
 	t.state = waiting
 	t.holder, t.endpoint = instance.Ref{}, ""
 	m.tasks[t.name] = t
+	if m.losses.Suspected(t.name) {
+		t.job.possiblyStarted = true // here, or at the home of an earlier request
+		m.suspects[t.name] = t
+		return
+	}
+	m.enqueueWaiting(t)
+}
+
+func (m *Machine) enqueueWaiting(t *homeTask) {
 	t.job.waiting = append(t.job.waiting, t)
 	m.enqueue(t.job)
 }
@@ -332,6 +344,7 @@
 		for _, t := range tasks {
 			lastNumber = max(lastNumber, t.number)
 			delete(m.tasks, t.name)
+			delete(m.suspects, t.name)
 			if t.state == placed {
 				m.abandonRun(now, t, out)
 			}
--- a/pool/lifetime.go
+++ b/pool/lifetime.go
@@ -69,6 +69,10 @@
 // leaving reports whether the end of the endpoint is announced.
 func (l *lifetime) leaving() bool { return !l.leavesAt.IsZero() }
 
+// announced reports whether the endpoint itself or the list has said that it is
+// draining. An endpoint that only vanished from the list may have crashed.
+func (l *lifetime) announced() bool { return l.draining || l.listedDraining || l.leaving() }
+
 // end returns the earliest end of an endpoint that leaves.
 func (l *lifetime) end(now time.Time) time.Time { return later(l.leavesAt, now) }
 
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -7,8 +7,12 @@
 
 	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/message"
 )
 
+// maxIntroducedLosses bounds the losses that a new peer is sent: the latest ones.
+const maxIntroducedLosses = 64
+
 // LossCounts counts the held endpoints that were lost with runs, by what was learnt
 // of them later.
 type LossCounts struct {
@@ -18,15 +22,16 @@
 }
 
 // recordLoss records that a held endpoint, which was not announced to leave, is lost
-// with the runs that it may have had.
+// with the runs that it may have had. It sends that to the peers before they hear of
+// the ends of these runs.
 func (m *Machine) recordLoss(now time.Time, e *endpointState, out *Output) {
-	if e.info.Draining || e.lifetime.leaving() {
+	if e.lifetime.announced() {
 		return
 	}
-	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now}
+	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
 	for _, r := range e.sortedRuns() {
 		if len(loss.Runs) < crash.MaxRuns && r.mayBeUnderWay(now, m.cfg.StopTime) {
-			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.queue})
+			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue})
 		}
 	}
 	if len(loss.Runs) == 0 || !m.losses.Record(loss) {
@@ -34,6 +39,9 @@
 	}
 	m.lossCounts.Suspected++
 	out.log(event.EndpointLost, e.info.ID, describeLoss(loss))
+	m.reviewTasks(loss)
+	m.sendLosses(now, m.sortedPeers, []crash.Loss{loss}, out)
+	m.proveByList(loss, out)
 }
 
 // mayBeUnderWay reports whether the run may have been under way when its endpoint was
@@ -42,16 +50,81 @@
 	return r.stopAcceptedAt.IsZero() || now.Sub(r.stopAcceptedAt) <= stopTime
 }
 
-// applyLossChanges logs losses whose state has changed.
+// proveByList looks for the proof of a new loss in the platform's list, which may
+// have it already.
+func (m *Machine) proveByList(loss crash.Loss, out *Output) {
+	for _, e := range m.sortedEndpoints {
+		if e.info.ID == loss.Endpoint || e.info.Address == loss.Address {
+			m.applyLossChanges(m.losses.ObserveBoot(e.info.ID, e.info.Address, e.info.StartedAt), out)
+		}
+	}
+}
+
+// observeAnswer records what an answer of an endpoint says of its loss. The peers hear
+// of it, since the platform's list tells it later or not at all.
+func (m *Machine) observeAnswer(now time.Time, e *endpointState, reply PollReply, out *Output) {
+	changed := m.losses.ObserveAnswer(now, reply.Sent, e.info.ID, e.info.Address, reply.StartedAt)
+	if len(changed) == 0 {
+		return
+	}
+	m.applyLossChanges(changed, out)
+	m.sendLosses(now, m.sortedPeers, changed, out)
+}
+
+// applyLossChanges handles losses whose state has changed.
 func (m *Machine) applyLossChanges(changed []crash.Loss, out *Output) {
 	for _, l := range changed {
-		if l.State == crash.Proved {
+		m.reviewTasks(l)
+		switch {
+		case !l.Own:
+		case l.State == crash.Proved:
 			m.lossCounts.Proved++
 			out.log(event.EndpointCrashProved, l.Endpoint, describeLoss(l))
+		default:
+			m.lossCounts.Withdrawn++
+			out.log(event.EndpointLossWithdrawn, l.Endpoint, describeLoss(l))
+		}
+	}
+}
+
+// handleLosses merges what a peer knows of lost endpoints. What comes from another
+// data centre is passed on in this one, since not all instances are connected.
+func (m *Machine) handleLosses(now time.Time, p *peer, b message.EndpointLosses, out *Output) {
+	var changed []crash.Loss
+	for _, l := range b.Losses {
+		loss := crash.Loss{Endpoint: l.Endpoint, Address: l.Address, StartedAt: l.StartedAt, At: now.Add(-l.Age), State: l.State, Runs: l.Runs}
+		if !m.losses.Record(loss) {
 			continue
 		}
-		m.lossCounts.Withdrawn++
-		out.log(event.EndpointLossWithdrawn, l.Endpoint, describeLoss(l))
+		changed = append(changed, loss)
+		m.reviewTasks(loss)
+		if loss.State == crash.Suspected {
+			m.proveByList(loss, out)
+		}
+	}
+	if len(changed) > 0 && p.info.DataCentre != m.cfg.Self.DataCentre {
+		m.sendLosses(now, m.localPeers(), changed, out)
+	}
+}
+
+// introduceLosses sends a peer that has just joined the latest losses.
+func (m *Machine) introduceLosses(now time.Time, p *peer, out *Output) {
+	losses := m.losses.Losses()
+	m.sendLosses(now, []*peer{p}, losses[max(len(losses)-maxIntroducedLosses, 0):], out)
+}
+
+func (m *Machine) sendLosses(now time.Time, peers []*peer, losses []crash.Loss, out *Output) {
+	if len(losses) == 0 {
+		return
+	}
+	var b message.EndpointLosses
+	for _, l := range losses {
+		b.Losses = append(b.Losses, message.EndpointLoss{
+			Endpoint: l.Endpoint, Address: l.Address, StartedAt: l.StartedAt, Age: max(now.Sub(l.At), 0), State: l.State, Runs: l.Runs,
+		})
+	}
+	for _, p := range peers {
+		m.send(p.info.Ref, b, out)
 	}
 }
 
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -168,10 +168,13 @@
 		// those that were held here.
 		losses     *crash.Ledger
 		lossCounts LossCounts
-		profiles   profilesState
-		views      viewState
-		refusals   refusals
-		routes     routeChoice
+		// suspects are the waiting tasks with which endpoints were lost and that are
+		// not in their jobs' queues, by name.
+		suspects map[string]*homeTask
+		profiles profilesState
+		views    viewState
+		refusals refusals
+		routes   routeChoice
 	}
 )
 
@@ -201,6 +204,7 @@
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 		losses:        crash.NewLedger(),
+		suspects:      map[string]*homeTask{},
 		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
 		profiles:      newProfilesState(now),
 		views:         viewState{reports: map[instance.Ref]receivedReport{}},
@@ -265,7 +269,8 @@
 func (m *Machine) setEndpoint(now time.Time, info endpoint.Info, out *Output) (known bool) {
 	e, ok := m.endpoints[info.ID]
 	if !ok || info.StartedAt.After(e.info.StartedAt) || info.Address != e.info.Address {
-		m.applyLossChanges(m.losses.ObserveBoot(info.ID, info.Address, info.StartedAt), out)
+		listed := info
+		defer func() { m.applyLossChanges(m.losses.ObserveBoot(listed.ID, listed.Address, listed.StartedAt), out) }()
 	}
 	if !ok {
 		e = newEndpointState(info)
@@ -356,6 +361,7 @@
 	m.runNumbers.expire(now)
 	m.maintainJudge(now, out)
 	m.losses.Expire(now)
+	m.endIsolations()
 	m.broadcastProfiles(now, out)
 	m.refusals.expire(now)
 	m.forgetReports()
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -77,6 +77,7 @@
 	m.freeSlots.lastSent = message.FreeSlots{} // the new peer has received nothing
 	m.sendExpectedRuns(info.Ref, out)
 	m.introduceProfiles(now, p, out)
+	m.introduceLosses(now, p, out)
 	out.log(event.PeerJoined, info.ID, detail)
 	m.advance(now, out)
 }
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -36,6 +36,7 @@
 // smaller one.
 func (m *Machine) placeTasks(now time.Time, out *Output) {
 	m.resolveUnconfirmed(now, out)
+	m.resolveSuspects(now, out)
 	blocked := blockedSizes{}
 	for _, j := range slices.Clone(m.queue) {
 		if j.ended || blocked.coverJob(j) {
@@ -149,11 +150,13 @@
 	s.Run = run.Ref{Task: t.name, Number: t.number}
 }
 
-// startRequest returns the request to start the task, without the run.
+// startRequest returns the request to start the task, without the number of the run.
 func (m *Machine) startRequest(t *homeTask) message.StartRun {
 	j := t.job
 	step := j.Steps[t.step]
 	s := message.StartRun{
+		Run:      run.Ref{Task: t.name},
+		Queue:    j.Queue.Name[:min(len(j.Queue.Name), maxQueueName)],
 		Service:  j.Queue.Service,
 		Spec:     j.Spec,
 		Needs:    step.Needs,
@@ -204,11 +207,12 @@
 	var best *endpointState
 	bestScore := math.Inf(1)
 	sizes := m.sizesOf(s.Service)
+	suspected := m.losses.Suspected(s.Run.Task)
 	for _, e := range m.held {
 		if !e.accepts(now, s) {
 			continue
 		}
-		score := e.score(s) + e.coldScore(now, s) + e.fitCost(sizes, s)
+		score := e.score(s) + e.coldScore(now, s) + e.fitCost(sizes, s) + e.apartCost(suspected)
 		if e.health.unanswered > 0 {
 			score += unansweredPenalty // the task may be the one that was not answered
 		}
@@ -241,7 +245,7 @@
 
 // ready reports whether the endpoint may get work at all.
 func (e *endpointState) ready(now time.Time) bool {
-	if !e.active || e.closed || e.releasing || e.info.Draining || !e.clock.known() || e.silent(now) {
+	if !e.active || e.closed || e.releasing || e.isolatedFor != "" || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
 	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -145,7 +145,7 @@
 		m.recordLoss(now, e, out)
 		m.adoptNewBoot(now, e, out)
 	}
-	m.applyLossChanges(m.losses.ObserveAnswer(now, reply.Sent, e.info.ID, e.info.Address, reply.StartedAt), out)
+	m.observeAnswer(now, e, reply, out)
 	e.info.StartedAt = reply.StartedAt
 	if otherBoot && e.active {
 		m.judgeActivated(now, e, out)
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -38,6 +38,8 @@
 		m.handleOffer(now, p, b, out)
 	case message.Profiles:
 		m.handleProfiles(now, p, b)
+	case message.EndpointLosses:
+		m.handleLosses(now, p, b, out)
 	case message.Decline:
 		if o := m.offers[b.Number]; o != nil && o.peer == p.info.Ref {
 			m.removeOffer(now, b.Number, offerDeclined)
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -13,7 +13,10 @@
 
 // startRun starts a run on an endpoint with enough free capacity.
 func (m *Machine) startRun(now time.Time, e *endpointState, home instance.Ref, s message.StartRun, out *Output) {
-	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, requires: s.Requires, work: s.Estimate, estimate: s.Estimate, queue: m.queueOf(s), sentAt: now, notifyStart: s.NotifyStart}
+	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, requires: s.Requires, work: s.Estimate, estimate: s.Estimate, queue: m.queueOf(s), jobQueue: s.Queue, suspected: m.losses.Suspected(s.Run.Task), sentAt: now, notifyStart: s.NotifyStart}
+	if r.suspected {
+		e.suspects++
+	}
 	e.expectCold(now, r)
 	e.recordOrderSent(now)
 	e.runs[s.Run] = r
@@ -204,6 +207,12 @@
 	if r.stopPending() {
 		e.pendingStops--
 	}
+	if r.suspected {
+		e.suspects--
+	}
+	if e.isolatedFor == ref.Task {
+		e.isolatedFor = ""
+	}
 	delete(e.runs, ref)
 	e.used = addScaled(e.used, r.needs, -1)
 	if len(e.runs) == 0 && e.reserved == 0 {
