pool, platform: starts keep to the size of endpoints that don't guard it

Cause: the size was that of whatever entry came last, whether or not it described the boot that answers. Class of fault: a fact of one life of an endpoint used for the next.

Change: the size is kept with the boot that it describes. Where a configuration says that a service's endpoints don't guard their size, one gets work only if that is the boot that answers, and one run after it was idle for longer than a poll. An endpoint with runs that its holder does not know of gets nothing until they have ended, and a size that an endpoint reports with its runs counts at once. A loss names only runs that were sent before the new boot began: it had blamed two that ran there.

Checked and sound: reserved offers are compared with the size again when they are taken; runs being stopped, unanswered starts and runs of a former holder count until their end is proved.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -65,6 +65,9 @@
 	endpointState struct {
 		info     endpoint.Info
 		lifetime lifetime
+		// unguarded reports that the endpoint does not refuse what exceeds its size.
+		unguarded bool
+		size      sizeState
 		// closed reports that the endpoint gets no work because its data centre is
 		// evacuated or may be.
 		closed bool
@@ -112,6 +115,9 @@
 		unansweredSince time.Time
 
 		runs map[run.Ref]*heldRun
+		// unknownRuns is the number of runs in the last list of the endpoint that are
+		// not among runs. They are being stopped and take an unknown room.
+		unknownRuns int
 		// pendingStops is the number of runs whose stop is requested and not
 		// accepted.
 		pendingStops int
@@ -189,7 +195,7 @@
 )
 
 func newEndpointState(info endpoint.Info) *endpointState {
-	return &endpointState{info: info, runs: map[run.Ref]*heldRun{}}
+	return &endpointState{info: info, size: sizeState{boot: info.StartedAt}, runs: map[run.Ref]*heldRun{}}
 }
 
 // isHeld reports whether this instance holds the endpoint.
@@ -204,6 +210,7 @@
 	e.token, e.active, e.releasing = 0, false, false
 	e.lastEnd, e.ackedEnd, e.maxLeaseEnd = 0, 0, 0
 	e.used, e.reserved = task.Needs{}, 0
+	e.unknownRuns = 0
 	e.pendingStops, e.suspects, e.isolatedFor = 0, 0, ""
 	clear(e.runs)
 }
--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -44,6 +44,14 @@
 		// losesStops makes stops have no effect and no answer.
 		losesStops bool
 		leaving    fakeLeaving
+		// unguarded makes it start whatever it is told to. sizes are its sizes since it
+		// started, and listedSize is the one that the list shows.
+		unguarded  bool
+		sizes      []sizeChange
+		listedSize task.Needs
+		// staleEntry is the entry of its earlier boot while the list still shows that; nil
+		// otherwise.
+		staleEntry *endpoint.Info
 		// coldUntil is until when runs that start take coldSlowdown times as long.
 		coldUntil time.Time
 		// predecessor is the endpoint that this one has replaced after a crash; nil if
@@ -95,6 +103,7 @@
 	e.runs, e.ended, e.highestRun = map[run.Ref]*fakeRun{}, nil, map[string]int64{}
 	e.pendingPolls = nil
 	e.leaving, e.coldUntil = fakeLeaving{}, time.Time{}
+	e.sizes, e.listedSize, e.staleEntry = nil, task.Needs{}, nil
 }
 
 // crash ends all runs on the endpoint. It restarts after d.
@@ -144,10 +153,12 @@
 	for _, r := range e.runs {
 		used = addScaled(used, r.needs, 1)
 	}
-	if !fitsWithin(addScaled(used, n, 1), e.info.Size) || len(e.runs) >= e.info.Slots {
+	fits := fitsWithin(addScaled(used, n, 1), e.info.Size) && len(e.runs) < e.info.Slots
+	if !fits && !e.unguarded {
 		e.fullRefusals++
 		return e.reply(Full)
 	}
+	e.checkRoom(s, addScaled(used, n, 1))
 	r := &fakeRun{ref: s.Run, needs: n, startedAt: e.sim.now, duration: time.Duration(e.currentSlowdown() * float64(duration))}
 	if e.tailShare > 0 && e.sim.rng.Float64() < e.tailShare {
 		r.duration *= tailRunFactor
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -22,15 +22,15 @@
 }
 
 // recordLoss records that a held endpoint, which was not announced to leave, is lost
-// with the runs that it may have had. It sends that to the peers before they hear of
-// the ends of these runs.
-func (m *Machine) recordLoss(now time.Time, e *endpointState, out *Output) {
+// with the runs that it may have had: those that were sent before the given time. It
+// sends that to the peers before they hear of the ends of these runs.
+func (m *Machine) recordLoss(now time.Time, e *endpointState, before time.Time, out *Output) {
 	if e.lifetime.announced() {
 		return
 	}
 	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
 	for _, r := range e.sortedRuns() {
-		if len(loss.Runs) < crash.MaxRuns && r.mayBeUnderWay(now, m.cfg.StopTime) {
+		if len(loss.Runs) < crash.MaxRuns && !r.sentAt.After(before) && r.mayBeUnderWay(now, m.cfg.StopTime) {
 			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue})
 		}
 	}
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -80,8 +80,10 @@
 		// be this process's fault.
 		tickLate    bool
 		evacuations evacuations
-		// configVersion is the version of the configuration in force.
+		// configVersion is the version of the configuration in force, and unguarded
+		// are the services whose endpoints don't refuse what exceeds their size.
 		configVersion uint64
+		unguarded     []string
 		// draining reports that the planned stop has begun, and stopsAt is when
 		// the process stops.
 		draining bool
@@ -274,6 +276,7 @@
 	}
 	if !ok {
 		e = newEndpointState(info)
+		e.unguarded = slices.Contains(m.unguarded, info.Service)
 		e.applyListed(now, info)
 		m.endpoints[info.ID] = e
 		return false
@@ -295,7 +298,7 @@
 		m.releaseUnconfirmed(now, e, out)
 	}
 	previousBoot := e.info.StartedAt
-	e.info = info
+	e.setInfo(now, info)
 	if !moved {
 		e.info.StartedAt = previousBoot // kept, so that the next poll reply reveals the restart and which runs remain
 	}
@@ -322,9 +325,14 @@
 	}
 }
 
-// SetVersion sets the version of the configuration in force.
-func (m *Machine) SetVersion(now time.Time, version uint64, out *Output) {
+// SetConfiguration sets the version of the configuration in force and the services
+// whose endpoints don't refuse what exceeds their size.
+func (m *Machine) SetConfiguration(now time.Time, version uint64, unguarded []string, out *Output) {
 	m.configVersion = version
+	m.unguarded = unguarded
+	for _, e := range m.sortedEndpoints {
+		e.unguarded = slices.Contains(unguarded, e.info.Service)
+	}
 	m.status.changed = true
 	m.advance(now, out)
 }
--- a/pool/output.go
+++ b/pool/output.go
@@ -9,6 +9,7 @@
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
+	"github.com/lovagecrank/lovagecrank/task"
 )
 
 // The outcomes of an order to an endpoint.
@@ -125,6 +126,8 @@
 		// time until it leaves; negative if what it reported is no such time.
 		Draining  bool
 		Remaining time.Duration
+		// Size is the endpoint's size; zero if it was not reported.
+		Size task.Needs
 	}
 
 	// Running is a run that the endpoint lists as running.
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -248,6 +248,9 @@
 	if !e.active || e.closed || e.releasing || e.isolatedFor != "" || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
+	if e.unknownRuns > 0 || e.unguarded && !e.sizeKnown(now) {
+		return false
+	}
 	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
 		return false // a start would extend the lease
 	}
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -139,10 +139,11 @@
 	if otherBoot {
 		e.bootSince = reply.Sent
 	}
+	lastAnswer := e.clock.received
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
 		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
-		m.recordLoss(now, e, out)
+		m.recordLoss(now, e, earliestBoot(now, lastAnswer, reply.Clock), out)
 		m.adoptNewBoot(now, e, out)
 	}
 	m.observeAnswer(now, e, reply, out)
@@ -152,6 +153,7 @@
 	}
 	e.ackedEnd = max(e.ackedEnd, min(reply.LastEnd, e.lastEnd))
 	m.applyRemaining(now, e, reply, out)
+	e.applyReportedSize(now, reply)
 	for _, end := range reply.Ended {
 		if end.Number > e.lastEnd {
 			e.lastEnd = end.Number
@@ -162,6 +164,16 @@
 	m.checkRunning(now, e, reply, out)
 }
 
+// earliestBoot returns when the boot that answers has started, by its clock, so that
+// orders that were sent later have reached this one. It returns the present time if the
+// clock does not tell, since it does not start from zero.
+func earliestBoot(now, lastAnswer time.Time, clock time.Duration) time.Time {
+	if clock <= 0 || clock > now.Sub(lastAnswer) {
+		return now
+	}
+	return now.Add(-clock)
+}
+
 // adoptNewBoot handles an answer from another boot of the endpoint, whose ends
 // and clock start from zero. Its list lacks the runs of the earlier boot and
 // has those that were started since. A new token fences the starts sent to the
@@ -208,6 +220,7 @@
 		m.judgeActivated(now, e, out)
 		e.logAnswersAgain(now, out)
 	}
+	e.unknownRuns = unknown
 	if unknown > 0 {
 		e.nextPoll = now.Add(m.cfg.StopTime / 2)
 	}
@@ -291,7 +304,7 @@
 // restarted or its lease expired. Starts that are still in flight may reach the
 // next boot, so their outcome is unconfirmed.
 func (m *Machine) releaseEnded(now time.Time, e *endpointState, out *Output) {
-	m.recordLoss(now, e, out)
+	m.recordLoss(now, e, now, out)
 	for _, r := range e.sortedRuns() {
 		if r.startedAt.IsZero() {
 			m.reportRun(now, e, r, run.Unconfirmed, out)
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -27,6 +27,9 @@
 	out.Starts = append(out.Starts, Start{Order: m.order(e, 0, minOrderTimeout), Run: s.Run, Spec: s.Spec, Until: until})
 	m.answerTimes.recordStart()
 	out.wakeAt(now.Add(m.answerTimes.timeout() + time.Millisecond))
+	if e.unguarded && e.answerIsOld(now) {
+		m.pollImmediately(now, e, out)
+	}
 	m.poll(now, e, out)
 }
 
--- a/pool/simulation_lifetime_test.go
+++ b/pool/simulation_lifetime_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/task"
 )
 
 const (
@@ -46,8 +47,14 @@
 
 // listed returns the endpoint's entry in the platform's list.
 func (e *fakeEndpoint) listed() endpoint.Info {
+	if e.staleEntry != nil {
+		return *e.staleEntry
+	}
 	info := e.info
 	info.Draining = info.Draining || !e.leaving.at.IsZero()
+	if e.listedSize != (task.Needs{}) {
+		info.Size = e.listedSize
+	}
 	if e.sim.now.Before(e.coldUntil) {
 		info.ColdUntil = e.coldUntil
 	}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -63,6 +63,8 @@
 		// troubles are the troubles that orders have now.
 		troubles    []*trouble
 		evacuations evacuationRequests
+		// unguarded are the services whose endpoints don't guard their size.
+		unguarded []string
 		// crashedReturnSame makes endpoints that a task has crashed return under
 		// the same ID.
 		crashedReturnSame bool
@@ -223,6 +225,9 @@
 	n.machine = New(sim.now, Config{Self: n.self, LeaseTime: testLeaseTime, StopTime: testStopTime, AwaitEvacuations: true})
 	n.wake = time.Time{}
 	sim.input(n, func(m *Machine, out *Output) {
+		if sim.unguarded != nil {
+			m.SetConfiguration(sim.now, 1, sim.unguarded, out)
+		}
 		m.SetInstances(sim.now, sim.others(n), out)
 		m.SetEndpoints(sim.now, sim.listedEndpoints(), out)
 	})
--- /dev/null
+++ b/pool/sizes_test.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/endpoint"
+)
+
+// TestUnguardedEndpointsKeepTheirSize guards against starts that bring an endpoint over
+// its size where endpoints don't refuse what doesn't fit. The observer checks each
+// start beside endpoints that become smaller or restart smaller and eight random
+// failures.
+func TestUnguardedEndpointsKeepTheirSize(t *testing.T) {
+	t.Parallel()
+	for seed := *firstScenario; seed < *firstScenario+uint64(*scenarios/2); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := startSimulation(t, seed, 4, 10)
+			sim.unguard()
+			sizes := sizeFailures()
+			for range 6 {
+				f := sizes[sim.rng.IntN(len(sizes))]
+				sim.after(time.Duration(sim.rng.Int64N(int64(9*time.Second))), func() { f.inject(sim) })
+			}
+			sim.generateLoad(10 * time.Second)
+			sim.injectTogether()
+			sim.advance(10 * time.Second)
+			sim.checkIdle()
+		})
+	}
+}
+
+// TestSizeChangesAlone is like TestUnguardedEndpointsKeepTheirSize with each kind of
+// size change alone.
+func TestSizeChangesAlone(t *testing.T) {
+	t.Parallel()
+	for _, f := range sizeFailures() {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", f.name, seed), func(t *testing.T) {
+				t.Parallel()
+				sim := startSimulation(t, seed, 4, 10)
+				sim.unguard()
+				sim.generateLoad(10 * time.Second)
+				for i := range 6 {
+					sim.after(time.Duration(1+i)*time.Second, func() { f.inject(sim) })
+				}
+				sim.advance(10 * time.Second)
+				sim.checkIdle()
+			})
+		}
+	}
+}
+
+// TestUnguardedEndpointsServeAsMuch checks that what protects endpoints that don't
+// guard their size costs next to nothing, also beside sizes that go up and down each
+// second.
+func TestUnguardedEndpointsServeAsMuch(t *testing.T) {
+	t.Parallel()
+	play := func(unguarded bool) float64 {
+		sim := startSimulation(t, 1, 4, 28)
+		if unguarded {
+			sim.unguard()
+		}
+		for i, e := range sim.endpoints[:4] {
+			for k := range 10 {
+				sim.after(time.Duration(k)*time.Second, func() { e.resize(float64(16 - 9*((i+k)%2))) })
+			}
+		}
+		tallies := sim.generateMixedLoad(10*time.Second, 0.7)
+		sim.advance(14 * time.Second)
+		logTallies(t, tallies)
+		return goalShare(tallies)
+	}
+	guarded, unguarded := play(false), play(true)
+	t.Logf("in goal %.3f, unguarded %.3f", guarded, unguarded)
+	if unguarded < guarded-0.02 {
+		t.Errorf("%.3f of the jobs are within their goal, %.3f if endpoints guard their size", unguarded, guarded)
+	}
+}
+
+// TestReportedSize checks which size of an endpoint counts if the list and the endpoint
+// itself differ.
+func TestReportedSize(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	boot, next := now.Add(-time.Hour), now.Add(-time.Second)
+	listed := func(boot time.Time, cores float64) endpoint.Info {
+		return endpoint.Info{ID: "e", Slots: 8, Size: needs(cores), StartedAt: boot}
+	}
+	tests := []struct {
+		name  string
+		apply func(e *endpointState)
+		want  float64
+	}{
+		{"the list alone", func(e *endpointState) { e.setInfo(now, listed(boot, 8)) }, 8},
+		{"the endpoint reports less", func(e *endpointState) {
+			e.applyReportedSize(now, PollReply{StartedAt: boot, Size: needs(4)})
+			e.setInfo(now.Add(time.Second), listed(boot, 16))
+		}, 4},
+		{"the report is old", func(e *endpointState) {
+			e.applyReportedSize(now, PollReply{StartedAt: boot, Size: needs(4)})
+			e.setInfo(now.Add(3*time.Second), listed(boot, 16))
+		}, 16},
+		{"an entry of an earlier boot comes late", func(e *endpointState) {
+			e.setInfo(now, listed(next, 4))
+			e.setInfo(now, listed(boot, 16))
+		}, 4},
+		{"no report", func(e *endpointState) { e.applyReportedSize(now, PollReply{StartedAt: boot}) }, 16},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndpointState(listed(boot, 16))
+			tt.apply(e)
+			is.Equal(e.info.Size.Cores, tt.want)
+		})
+	}
+}
--- a/pool/suspension_test.go
+++ b/pool/suspension_test.go
@@ -122,7 +122,7 @@
 		name  string
 		input func(now time.Time, m *Machine, e *endpointState, out *Output)
 	}{
-		{"a version", func(now time.Time, m *Machine, _ *endpointState, out *Output) { m.SetVersion(now, 1, out) }},
+		{"a version", func(now time.Time, m *Machine, _ *endpointState, out *Output) { m.SetConfiguration(now, 1, nil, out) }},
 		{"a poll's reply", func(now time.Time, m *Machine, e *endpointState, out *Output) {
 			reply := Reply{Endpoint: e.info.ID, Token: e.token, Clock: 3 * time.Second, Sent: now}
 			m.HandlePollReply(now, PollReply{Reply: reply, StartedAt: e.info.StartedAt}, out)
--- a/route/route.go
+++ b/route/route.go
@@ -41,6 +41,9 @@
 		Version uint64
 		Queues  []Queue
 		Limits  Limits
+		// UnguardedServices are the services whose endpoints start whatever they are
+		// told to, also beyond their size.
+		UnguardedServices []string
 	}
 
 	// Table matches requests to queues. It is immutable, so that requests read
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -81,7 +81,7 @@
 		}
 		r.routes.Store(table)
 		r.encodedConfiguration.Store(&encoded)
-		m.SetVersion(now, d.Version, out)
+		m.SetConfiguration(now, d.Version, d.UnguardedServices, out)
 		out.Events = append(out.Events, event.Record{Kind: event.ConfigurationInForce, Subject: formatVersion(d.Version), Detail: fmt.Sprintf("%d queues from %s, replaces version %d", len(d.Queues), source, previous)})
 	})
 }
