pool: repeated stops at a crashed endpoint are few and logged once

Cause: the stop of a run is repeated each 30 ms until the lease ends, also while connections are refused, and each has a line.

Change: the time between two stops doubles while connections are refused, up to eight times, and a run has one line for each change of the outcome. TestStopsAtCrashedEndpoint failed before. Other outcomes are repeated as before: a busy endpoint should stop soon.

--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
 )
 
@@ -182,3 +183,22 @@
 		})
 	}
 }
+
+// TestStopsAtCrashedEndpoint guards against a log that consists of the repeated stops
+// of runs on crashed endpoints: each run has one line for the same outcome, and the
+// endpoint is asked less and less.
+func TestStopsAtCrashedEndpoint(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 4, 12)
+	c := sim.submit(0, &longQueue, 8*time.Second, step(12, time.Second))
+	sim.advance(100 * time.Millisecond)
+	e := sim.endpoints[0]
+	runs := len(e.runs)
+	is.True(runs > 0)
+	e.crash(crashDowntime)
+	sim.disconnectCaller(c) // its runs are stopped
+	sim.advance(2 * time.Second)
+	is.True(len(sim.logged(event.StopNotAccepted, "")) <= runs)
+	is.True(e.refusedStops <= 12*runs) // 30 ms apart there would be 40 in the time of a lease
+}
--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -59,7 +59,8 @@
 		predecessor *fakeEndpoint
 		// fullRefusals counts the starts refused as Full, startCount the others and
 		// lostRuns the runs that ended because the endpoint did.
-		fullRefusals, startCount, lostRuns int
+		// refusedStops counts the stops that arrived while it was down.
+		fullRefusals, startCount, lostRuns, refusedStops int
 	}
 
 	fakeRun struct {
@@ -236,6 +237,9 @@
 	if e.losesStops {
 		return Reply{Outcome: Unanswered}
 	}
+	if !e.up {
+		e.refusedStops++
+	}
 	if r, ok := e.checkOrder(s.Order); !ok {
 		return r
 	}
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -11,6 +11,9 @@
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
+// maxStopBackoff bounds the doublings of the time between two stops.
+const maxStopBackoff = 3
+
 // startRun starts a run on an endpoint with enough free capacity.
 func (m *Machine) startRun(now time.Time, e *endpointState, home instance.Ref, s message.StartRun, out *Output) {
 	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, requires: s.Requires, work: s.Estimate, estimate: s.Estimate, queue: m.queueOf(s), jobQueue: s.Queue, suspected: m.losses.Suspected(s.Run.Task), sentAt: now, notifyStart: s.NotifyStart}
@@ -111,7 +114,7 @@
 		return
 	}
 	r := e.runs[reply.Run]
-	if reply.Outcome != Accepted {
+	if r.observeStop(reply.Outcome) {
 		out.log(event.StopNotAccepted, reply.Run.Task, fmt.Sprintf("run %d: endpoint %s answered %s", reply.Run.Number, e.info.ID, reply.summary()))
 	}
 	switch reply.Outcome {
@@ -135,6 +138,30 @@
 	m.advance(now, out)
 }
 
+// observeStop records the outcome of a stop, and reports whether it is to be logged: if
+// it is not accepted, and not for the same reason as the last one. r is nil for a run
+// that is not known.
+func (r *heldRun) observeStop(o Outcome) (logged bool) {
+	if r == nil {
+		return o != Accepted
+	}
+	logged = o != Accepted && (r.stopAttempts == 0 || o != r.stopOutcome)
+	r.stopOutcome = o
+	r.stopAttempts++
+	if o != ConnectionRefused {
+		r.refusedStops = 0
+		return logged
+	}
+	r.refusedStops++
+	return logged
+}
+
+// stopRetryDelay returns the time after which an unaccepted stop is repeated. An endpoint
+// that refuses connections has probably crashed, and is asked less and less.
+func (m *Machine) stopRetryDelay(r *heldRun) time.Duration {
+	return m.answerTimes.timeout() << min(r.refusedStops, maxStopBackoff)
+}
+
 // maintainRun repeats an unanswered stop, finishes a run whose stop is
 // complete, and stops a run that was not started in time or is stalled.
 func (m *Machine) maintainRun(now time.Time, e *endpointState, r *heldRun, out *Output) {
@@ -147,10 +174,10 @@
 		m.pollImmediately(now, e, out)
 		out.wakeAt(r.stopAcceptedAt.Add(m.cfg.StopTime + stopMargin + time.Millisecond))
 	case !r.stopRequestedAt.IsZero():
-		if now.Sub(r.stopSentAt) >= m.answerTimes.timeout() {
+		if now.Sub(r.stopSentAt) >= m.stopRetryDelay(r) {
 			m.sendStop(now, e, r, out)
 		}
-		out.wakeAt(r.stopSentAt.Add(m.answerTimes.timeout()))
+		out.wakeAt(r.stopSentAt.Add(m.stopRetryDelay(r)))
 	case r.startedAt.IsZero():
 		if m.startUnanswered(now, r) {
 			m.stopUnansweredStart(now, e, r, "no reply in the time of "+milliseconds(m.answerTimes.timeout()).String(), out)
