--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -219,6 +219,16 @@
 	return changed
 }
 
+// AwaitsProof reports whether there are losses that are neither proved nor withdrawn.
+func (l *Ledger) AwaitsProof() bool {
+	for _, loss := range l.losses {
+		if loss.State == Suspected {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire forgets the losses that are older than lossTTL.
 func (l *Ledger) Expire(now time.Time) {
 	for _, k := range slices.Clone(l.order) {
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/crash"
+	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/message"
 )
@@ -50,6 +51,16 @@
 	return r.stopAcceptedAt.IsZero() || now.Sub(r.stopAcceptedAt) <= stopTime
 }
 
+// observeListedBoots looks for the proofs of losses in a new list.
+func (m *Machine) observeListedBoots(infos []endpoint.Info, out *Output) {
+	if !m.losses.AwaitsProof() {
+		return
+	}
+	for _, i := range infos {
+		m.applyLossChanges(m.losses.ObserveBoot(i.ID, i.Address, i.StartedAt), out)
+	}
+}
+
 // proveByList looks for the proof of a new loss in the platform's list, which may
 // have it already.
 func (m *Machine) proveByList(loss crash.Loss, out *Output) {
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -228,6 +228,7 @@
 			added = append(added, info)
 		}
 	}
+	m.observeListedBoots(infos, out)
 	m.logAdded(now, added, out)
 	for _, e := range m.sortedEndpoints {
 		if !listed[e.info.ID] && !e.info.Draining {
@@ -270,10 +271,6 @@
 // was known.
 func (m *Machine) setEndpoint(now time.Time, info endpoint.Info, out *Output) (known bool) {
 	e, ok := m.endpoints[info.ID]
-	if !ok || info.StartedAt.After(e.info.StartedAt) || info.Address != e.info.Address {
-		listed := info
-		defer func() { m.applyLossChanges(m.losses.ObserveBoot(listed.ID, listed.Address, listed.StartedAt), out) }()
-	}
 	if !ok {
 		e = newEndpointState(info)
 		e.unguarded = slices.Contains(m.unguarded, info.Service)
