pool: the entry of an endpoint's earlier boot does not describe the present one

Found while looking for the class of the size fault elsewhere: a task that requires a label could start on an endpoint that had restarted as another kind, by the list's entry of its earlier boot; and an entry of an earlier boot that came late brought its labels, rack and service back. Nobody has seen it; no deployment at hand has such tasks.

An entry of an earlier boot changes nothing but the address and the draining state, and a task with a required label starts only where the description is that of the boot that answers. TestLabelOfEarlierBoot failed before.

Open: an endpoint that was idle and restarted unnoticed gets one such start before its answer tells the new boot; a start's reply does not name it.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -237,7 +237,7 @@
 	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
 		return false
 	}
-	if s.Requires != "" && !slices.Contains(e.info.Labels, s.Requires) || slices.Contains(s.Avoid, e.info.ID) {
+	if s.Requires != "" && !(e.infoIsCurrent() && slices.Contains(e.info.Labels, s.Requires)) || slices.Contains(s.Avoid, e.info.ID) {
 		return false
 	}
 	return fitsWithin(addScaled(e.used, s.Needs, 1), e.info.Size)
--- a/pool/size.go
+++ b/pool/size.go
@@ -18,7 +18,8 @@
 
 // sizeState is where an endpoint's size comes from.
 type sizeState struct {
-	// boot is when the boot started that the size describes; zero if unknown.
+	// boot is when the boot started that the endpoint's info describes; zero if
+	// unknown.
 	boot time.Time
 	// reported is the size that the endpoint last reported with its runs, at
 	// reportedAt; zero if it has not.
@@ -29,13 +30,13 @@
 }
 
 // setInfo takes over the endpoint's entry in the platform's list. An entry of an
-// earlier boot than the one whose size is known does not change the size.
+// earlier boot than the one that is described does not change its description.
 func (e *endpointState) setInfo(now time.Time, info endpoint.Info) {
 	if startedLater(e.size.boot, info.StartedAt) {
-		info.Size, info.Slots = e.info.Size, e.info.Slots
-	} else {
-		e.size.boot = info.StartedAt
+		e.info.Address, e.info.Draining = info.Address, info.Draining
+		return
 	}
+	e.size.boot = info.StartedAt
 	if now.Sub(e.size.reportedAt) < reportedSizeTTL && e.size.reported != (task.Needs{}) {
 		info.Size = info.Size.Min(e.size.reported)
 	}
@@ -56,12 +57,13 @@
 // may be smaller. An endpoint that was idle may have restarted unnoticed: it gets one
 // run, and more once it has answered.
 func (e *endpointState) sizeKnown(now time.Time) bool {
-	if startedLater(e.info.StartedAt, e.size.boot) {
-		return false
-	}
-	return !e.answerIsOld(now) || len(e.runs)+e.reserved == 0
+	return e.infoIsCurrent() && (!e.answerIsOld(now) || len(e.runs)+e.reserved == 0)
 }
 
+// infoIsCurrent reports whether the info describes the boot that answers. A later one
+// may be of another kind.
+func (e *endpointState) infoIsCurrent() bool { return !startedLater(e.info.StartedAt, e.size.boot) }
+
 // answerIsOld reports whether the endpoint may have restarted since it last answered a
 // poll.
 func (e *endpointState) answerIsOld(now time.Time) bool {
--- a/pool/sizes_test.go
+++ b/pool/sizes_test.go
@@ -119,3 +119,33 @@
 		})
 	}
 }
+
+// TestLabelOfEarlierBoot guards against a task that requires a label on an endpoint
+// that has restarted as another kind, by the list's entry of its earlier boot.
+func TestLabelOfEarlierBoot(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 1, 1)
+	e := sim.endpoints[0]
+	listed := e.info
+	e.crash(100 * time.Millisecond)
+	sim.after(101*time.Millisecond, func() {
+		e.info.Labels = []string{"b", "r0"}
+		e.staleEntry = &listed
+	})
+	sim.advance(2 * time.Second)
+	labelled := Step{Tasks: 1, Needs: needs(1), Estimate: 50 * time.Millisecond, Requires: "a"}
+	sim.submit(0, urgent, time.Second, labelled)
+	sim.submit(0, urgent, time.Second, labelled)
+	sim.advance(300 * time.Millisecond) // the answer of a first start tells the new boot
+	before := e.startCount
+	sim.submit(0, urgent, time.Second, labelled)
+	sim.advance(300 * time.Millisecond)
+	is.Equal(e.startCount, before)
+	e.staleEntry = nil
+	sim.listEndpoints()
+	c := sim.submit(0, urgent, time.Second, Step{Tasks: 1, Needs: needs(1), Estimate: 50 * time.Millisecond, Requires: "b"})
+	sim.advance(300 * time.Millisecond)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+}
