crash: endpoints that crash on their own put no queue under suspicion

Two tasks that were lost twice, one endpoint proved, made all tasks of their queue wait for the proof of a first loss. Endpoints that go down and up by turns do that to every queue, and sound tasks would wait up to 6 s for nothing. A queue is suspected now if three of its tasks were lost twice within 10 s, and they are three quarters of all such tasks.

TestCrashingQueue has the cases.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -67,15 +67,14 @@
 		// byTask has the losses of each task that are not withdrawn, in the order
 		// in which they were recorded.
 		byTask map[string][]*Loss
-		// crashingUntil is until when tasks of a queue count as likely to crash
-		// endpoints, by queue.
-		crashingUntil map[string]time.Time
+		// blamed are the tasks that were lost with several endpoints, by name.
+		blamed map[string]blame
 	}
 )
 
 // NewLedger returns a ledger without losses.
 func NewLedger() *Ledger {
-	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, crashingUntil: map[string]time.Time{}}
+	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, blamed: map[string]blame{}}
 }
 
 // String returns the state's name in snake case.
@@ -125,7 +124,7 @@
 	l.losses[k] = added
 	l.order = append(l.order, k)
 	l.addRuns(added, runs)
-	l.blameQueues(added)
+	l.blameTasks(added)
 }
 
 // merge adds what another instance knows of the same loss.
@@ -140,7 +139,7 @@
 		known.At = loss.At
 	}
 	if changed {
-		l.blameQueues(known)
+		l.blameTasks(known)
 	}
 	return changed
 }
@@ -213,7 +212,7 @@
 			continue
 		}
 		l.setState(loss, Proved)
-		l.blameQueues(loss)
+		l.blameTasks(loss)
 		changed = append(changed, *loss)
 	}
 	return changed
@@ -236,7 +235,7 @@
 			l.remove(k)
 		}
 	}
-	maps.DeleteFunc(l.crashingUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(l.blamed, func(_ string, b blame) bool { return now.Sub(b.at) > blameTTL })
 }
 
 // Losses returns the losses in the order in which they were recorded.
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -8,9 +8,13 @@
 	// proofWait is how long after a loss its proof or its withdrawal is waited for. A
 	// crashed endpoint is back after some seconds, and listed after one heartbeat.
 	proofWait = 6 * time.Second
-	// queueTTL is how long the tasks of a queue count as likely to crash endpoints
-	// after one of them has.
-	queueTTL = 10 * time.Second
+	// blameTTL is how long a task that was lost with several endpoints counts against
+	// its queue. The tasks of a queue are likely to crash endpoints if minBlamed of
+	// them were, and at least minBlamedShare of all such tasks: endpoints that crash on
+	// their own take tasks of all queues with them.
+	blameTTL       = 10 * time.Second
+	minBlamed      = 3
+	minBlamedShare = 0.75
 	// The proved losses after which a task is given up: fewer if it ran alone at one
 	// of them, since an endpoint runs several tasks and only one of them is to blame.
 	maxProvedAlone  = 2
@@ -41,6 +45,13 @@
 	// Verdict is how a task may start again.
 	Verdict uint8
 
+	// blame is a task of a queue that was lost with several endpoints, at least one of
+	// which has crashed.
+	blame struct {
+		queue string
+		at    time.Time
+	}
+
 	// History is what is known of the endpoints that were lost with a task.
 	History struct {
 		// Losses counts the losses that are not withdrawn, and Proved those of them
@@ -103,22 +114,24 @@
 
 // crashing reports whether tasks of the queue are likely to crash endpoints.
 func (l *Ledger) crashing(now time.Time, queue string) bool {
-	return now.Before(l.crashingUntil[queue])
+	own, all := 0, 0
+	for _, b := range l.blamed {
+		if now.Sub(b.at) > blameTTL {
+			continue
+		}
+		all++
+		if b.queue == queue {
+			own++
+		}
+	}
+	return own >= minBlamed && float64(own) >= minBlamedShare*float64(all)
 }
 
-// blameQueues marks the queues of the tasks of a loss that were lost with another
-// endpoint too, if at least one of the losses is proved.
-func (l *Ledger) blameQueues(loss *Loss) {
+// blameTasks blames the tasks of a loss that were lost with another endpoint too.
+func (l *Ledger) blameTasks(loss *Loss) {
 	for _, r := range loss.Runs {
 		if h := l.History(r.Task); r.Queue != "" && h.Losses > 1 && h.Proved > 0 {
-			l.crashingUntil[r.Queue] = later(l.crashingUntil[r.Queue], h.LastAt.Add(queueTTL))
+			l.blamed[r.Task] = blame{r.Queue, h.LastAt}
 		}
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
