crash: a queue is suspected by two of its tasks, not three

What keeps endpoints that crash on their own from blaming a queue is the share of three quarters, which stays.

--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -13,7 +13,7 @@
 	// them were, and at least minBlamedShare of all such tasks: endpoints that crash on
 	// their own take tasks of all queues with them.
 	blameTTL       = 10 * time.Second
-	minBlamed      = 3
+	minBlamed      = 2
 	minBlamedShare = 0.75
 	// The proved losses after which a task is given up: fewer if it ran alone at one
 	// of them, since an endpoint runs several tasks and only one of them is to blame.
