crash: a late withdrawal does not clear a loss that came after it

An endpoint that is silent, answers, and then crashes has two losses of one boot. The withdrawal of the first one, on a longer way over another data centre, took the second one out of the account, and its tasks with it. Found by reading; TestRecordMerges failed before.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -127,8 +127,12 @@
 	l.blameTasks(added)
 }
 
-// merge adds what another instance knows of the same loss.
+// merge adds what another instance knows of the same loss. It ignores a withdrawal of an
+// earlier loss of the same boot.
 func (l *Ledger) merge(known *Loss, loss Loss) (changed bool) {
+	if loss.State == Withdrawn && known.State != Withdrawn && !loss.At.After(known.At) {
+		return false
+	}
 	changed = l.addRuns(known, loss.Runs)
 	known.Own = known.Own || loss.Own
 	if loss.State > known.State {
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -78,6 +78,11 @@
 	is.True(l.Record(lossOf("e", now.Add(2*time.Second), "c"))) // lost again
 	is.Equal(l.Losses()[0].State, Suspected)
 	is.Equal(len(l.byTask), 1)
+
+	late := lossOf("e", now.Add(time.Second)) // the earlier withdrawal, on a longer way
+	late.State = Withdrawn
+	is.True(!l.Record(late))
+	is.Equal(l.Losses()[0].State, Suspected)
 }
 
 // TestLedgerIsBounded checks that the account stays bounded and forgets old losses.
