pool: whether an endpoint is ready for a task is asked in one place

The isolation of an endpoint was set aside and put back to ask whether its own task may start there. readyFor takes the task. Also gofmt of a file that left unformatted.

--- a/pool/endpoint_list.go
+++ b/pool/endpoint_list.go
@@ -118,4 +118,3 @@
 		m.forgetProfile(e.info.ID)
 	}
 }
-
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -231,7 +231,7 @@
 
 // accepts reports whether the endpoint can run the task now.
 func (e *endpointState) accepts(now time.Time, s message.StartRun) bool {
-	if !e.ready(now) || e.info.Service != s.Service {
+	if !e.readyFor(now, s.Run.Task) || e.info.Service != s.Service {
 		return false
 	}
 	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
@@ -243,9 +243,13 @@
 	return fitsWithin(addScaled(e.used, s.Needs, 1), e.info.Size)
 }
 
-// ready reports whether the endpoint may get work at all.
-func (e *endpointState) ready(now time.Time) bool {
-	if !e.active || e.closed || e.releasing || e.isolatedFor != "" || e.info.Draining || !e.clock.known() || e.silent(now) {
+// ready reports whether the endpoint may get work of any task.
+func (e *endpointState) ready(now time.Time) bool { return e.readyFor(now, "") }
+
+// readyFor reports whether the endpoint may get the task, as far as the task's needs
+// don't matter.
+func (e *endpointState) readyFor(now time.Time, task string) bool {
+	if !e.active || e.closed || e.releasing || e.isolatedFor != "" && e.isolatedFor != task || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
 	if e.unknownRuns > 0 || e.unguarded && !e.sizeKnown(now) {
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -89,7 +89,7 @@
 	if e == nil {
 		return !m.holdsEndpointFor(s) && m.placeTask(now, t, out)
 	}
-	if len(e.runs)+e.reserved > 0 || !e.acceptsIsolated(now, s) {
+	if len(e.runs)+e.reserved > 0 || !e.accepts(now, s) {
 		return false
 	}
 	m.placeHere(now, t, e, s, out)
@@ -103,7 +103,7 @@
 	isolated := 0
 	for _, e := range m.held {
 		switch {
-		case e.isolatedFor == name && e.usableIsolated(now):
+		case e.isolatedFor == name && e.readyFor(now, name):
 			return e
 		case e.isolatedFor == name:
 			e.isolatedFor = ""
@@ -149,24 +149,6 @@
 	return slices.ContainsFunc(m.held, func(e *endpointState) bool { return e.active && e.suits(s) })
 }
 
-// usableIsolated is like ready for the task that the endpoint is isolated for.
-func (e *endpointState) usableIsolated(now time.Time) bool {
-	name := e.isolatedFor
-	e.isolatedFor = ""
-	usable := e.ready(now)
-	e.isolatedFor = name
-	return usable
-}
-
-// acceptsIsolated is like accepts for the task that the endpoint is isolated for.
-func (e *endpointState) acceptsIsolated(now time.Time, s message.StartRun) bool {
-	name := e.isolatedFor
-	e.isolatedFor = ""
-	accepts := e.accepts(now, s)
-	e.isolatedFor = name
-	return accepts
-}
-
 // endIsolations ends those whose tasks neither run nor wait any more.
 func (m *Machine) endIsolations() {
 	for _, e := range m.held {
