--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -64,6 +64,8 @@
 		losses map[key]*Loss
 		// order has the keys in the order in which they were recorded.
 		order []key
+		// unproved are the suspected losses, in the same order.
+		unproved []*Loss
 		// byTask has the losses of each task that are not withdrawn, in the order
 		// in which they were recorded.
 		byTask map[string][]*Loss
@@ -123,6 +125,9 @@
 	added := &loss
 	l.losses[k] = added
 	l.order = append(l.order, k)
+	if loss.State == Suspected {
+		l.unproved = append(l.unproved, added)
+	}
 	l.addRuns(added, runs)
 	l.blameTasks(added)
 }
@@ -164,6 +169,7 @@
 
 func (l *Ledger) setState(loss *Loss, s State) {
 	loss.State = s
+	l.removeUnproved(loss)
 	if s == Withdrawn {
 		l.forgetRuns(loss)
 	}
@@ -180,8 +186,16 @@
 	}
 }
 
+// removeUnproved replaces the list, since it may be in use.
+func (l *Ledger) removeUnproved(loss *Loss) {
+	if i := slices.Index(l.unproved, loss); i >= 0 {
+		l.unproved = slices.Concat(l.unproved[:i], l.unproved[i+1:])
+	}
+}
+
 func (l *Ledger) remove(k key) {
 	l.forgetRuns(l.losses[k])
+	l.removeUnproved(l.losses[k])
 	delete(l.losses, k)
 	l.order = slices.DeleteFunc(l.order, func(o key) bool { return o == k })
 }
@@ -209,10 +223,9 @@
 	if startedAt.IsZero() {
 		return nil
 	}
-	for _, k := range l.order {
-		loss := l.losses[k]
+	for _, loss := range l.unproved {
 		same := loss.Endpoint == endpoint || loss.Address == address
-		if loss.State != Suspected || !same || loss.StartedAt.IsZero() || !startedAt.After(loss.StartedAt) || keyOf(endpoint, startedAt) == k {
+		if !same || loss.StartedAt.IsZero() || startedAt.UnixMilli() <= loss.StartedAt.UnixMilli() {
 			continue
 		}
 		l.setState(loss, Proved)
@@ -223,14 +236,7 @@
 }
 
 // AwaitsProof reports whether there are losses that are neither proved nor withdrawn.
-func (l *Ledger) AwaitsProof() bool {
-	for _, loss := range l.losses {
-		if loss.State == Suspected {
-			return true
-		}
-	}
-	return false
-}
+func (l *Ledger) AwaitsProof() bool { return len(l.unproved) > 0 }
 
 // Expire forgets the losses that are older than lossTTL.
 func (l *Ledger) Expire(now time.Time) {
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -96,4 +96,5 @@
 	is.Equal(len(l.byTask), maxLosses)
 	l.Expire(now.Add(lossTTL + time.Second))
 	is.Equal(len(l.Losses())+len(l.byTask), 0)
+	is.True(!l.AwaitsProof())
 }
