pool: an endpoint with an unknown run is polled until the run has ended

TestEndpointWithUnknownRunIsUsedAgain failed before.

Also: the name of a queue that is too long for a message is left out and no longer cut, perhaps within a character.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -281,7 +281,7 @@
 	for _, r := range e.sortedRuns() {
 		m.maintainRun(now, e, r, out)
 	}
-	if !e.active || len(e.runs) > 0 || e.lastEnd > e.ackedEnd && !now.Before(e.ackBy) {
+	if !e.active || len(e.runs)+e.unknownRuns > 0 || e.lastEnd > e.ackedEnd && !now.Before(e.ackBy) {
 		m.poll(now, e, out)
 	}
 }
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -156,7 +156,7 @@
 	step := j.Steps[t.step]
 	s := message.StartRun{
 		Run:      run.Ref{Task: t.name},
-		Queue:    j.Queue.Name[:min(len(j.Queue.Name), maxQueueName)],
+		Queue:    sentName(j.Queue.Name),
 		Service:  j.Queue.Service,
 		Spec:     j.Spec,
 		Needs:    step.Needs,
@@ -172,6 +172,14 @@
 	return s
 }
 
+// sentName returns the name of a queue for a message; empty if it is too long for one.
+func sentName(queue string) string {
+	if len(queue) > maxQueueName {
+		return ""
+	}
+	return queue
+}
+
 // saturatedEndpoints returns the endpoints on which at least spread of the
 // tasks run or ran.
 func saturatedEndpoints(tasks []*homeTask, spread int) []string {
--- a/pool/sizes_test.go
+++ b/pool/sizes_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/run"
 )
 
 // TestUnguardedEndpointsKeepTheirSize guards against starts that bring an endpoint over
@@ -149,3 +150,29 @@
 	is.Equal(len(c.answers), 1)
 	is.True(c.answers[0] == nil)
 }
+
+// TestEndpointWithUnknownRunIsUsedAgain guards against an endpoint that gets no work any
+// more after a run was found there that its holder does not know of, and whose stop had
+// no effect.
+func TestEndpointWithUnknownRunIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 1, 1)
+	n, e := sim.instances[0], sim.endpoints[0]
+	first := sim.submit(0, urgent, 2*time.Second, step(1, 600*time.Millisecond))
+	sim.advance(800 * time.Millisecond)
+	is.Equal(len(first.answers), 1)
+	sim.submit(0, urgent, 2*time.Second, step(1, 100*time.Millisecond))
+	sim.advance(10 * time.Millisecond)
+	late := Start{Order: Order{Token: e.token}, Run: run.Ref{Task: taskName(first.job.ID, 0, 0), Number: 9}, Until: e.clock() + time.Second}
+	is.Equal(e.start(late).Outcome, Accepted) // an order that was given up is carried out
+	e.losesStops = true
+	sim.advance(500 * time.Millisecond)
+	is.Equal(n.machine.endpoints[e.info.ID].unknownRuns, 1)
+	sim.advance(500 * time.Millisecond)
+	is.Equal(n.machine.endpoints[e.info.ID].unknownRuns, 0)
+	c := sim.submit(0, urgent, 2*time.Second, step(1, 20*time.Millisecond))
+	sim.advance(200 * time.Millisecond)
+	is.Equal(len(c.answers), 1)
+	is.True(c.answers[0] == nil)
+}
