pool: an instance that was suspended records no losses

After a suspension every endpoint that it held counts as silent for longer than its lease, and all their tasks were suspected until another holder heard from the endpoints.

--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -202,3 +202,17 @@
 	is.True(len(sim.logged(event.StopNotAccepted, "")) <= runs)
 	is.True(e.refusedStops <= 12*runs) // 30 ms apart there would be 40 in the time of a lease
 }
+
+// TestResumedHolderSuspectsNobody guards against an instance that was suspended and takes
+// the silence of its endpoints, which was its own, for their loss.
+func TestResumedHolderSuspectsNobody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 4, 12)
+	sim.generateLoad(4 * time.Second)
+	sim.advance(time.Second)
+	sim.suspend(1, 2500*time.Millisecond)
+	sim.advance(6 * time.Second)
+	is.Equal(len(sim.logged(event.EndpointLost, "")), 0)
+	is.True(len(sim.logged(event.Suspended, "")) > 0)
+}
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -26,7 +26,7 @@
 // with the runs that it may have had: those that were sent before the given time. It
 // sends that to the peers before they hear of the ends of these runs.
 func (m *Machine) recordLoss(now time.Time, e *endpointState, before time.Time, out *Output) {
-	if e.lifetime.announced() {
+	if e.lifetime.announced() || m.recentlyResumed(now) { // the silence was its own
 		return
 	}
 	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
