--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -216,3 +217,16 @@
 	is.Equal(len(sim.logged(event.EndpointLost, "")), 0)
 	is.True(len(sim.logged(event.Suspended, "")) > 0)
 }
+
+// TestSuspectedTaskAtDeadline checks that a caller whose deadline passes before the proof
+// hears that its task may have crashed endpoints.
+func TestSuspectedTaskAtDeadline(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 4, 12)
+	c := sim.submitCrashing(0, 1, 60*time.Millisecond, 3*time.Second)
+	sim.advance(4 * time.Second)
+	is.Equal(len(c.answers), 1)
+	is.Equal(c.answers[0].Kind, fault.DeadlineExceeded)
+	is.True(strings.Contains(c.answers[0].Error(), "which it may have crashed"))
+}
--- a/pool/expiry.go
+++ b/pool/expiry.go
@@ -41,6 +41,9 @@
 
 // expiryFault returns the answer to an expired job.
 func (m *Machine) expiryFault(now time.Time, j *homeJob) *fault.Error {
+	if t := m.suspectOf(j); t != nil {
+		return fault.New(fault.DeadlineExceeded, "task %s was lost with %d endpoints, which it may have crashed, and had not started again after %s", t.name, m.losses.History(t.name).Losses, now.Sub(j.arrived))
+	}
 	if j.mayHaveStarted() {
 		return fault.New(fault.DeadlineExceeded, "%d tasks had not ended after %s", j.unfinished, now.Sub(j.arrived))
 	}
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// suspectOf returns the first of the job's tasks that wait as suspected, or nil.
+func (m *Machine) suspectOf(j *homeJob) *homeTask {
+	if len(m.suspects) == 0 {
+		return nil
+	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if m.suspects[t.name] != nil {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
 // placeAlone starts the task on a held endpoint that it has for itself, and reports
 // whether it did. An instance that holds no endpoint for the task leaves it to a peer.
 func (m *Machine) placeAlone(now time.Time, t *homeTask, out *Output) bool {
