--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -117,32 +116,8 @@
 		// neighbours are the IDs of the peers that the machine selected.
 		neighbours map[string]bool
 	}
-
-	eventItem struct {
-		at       time.Time
-		sequence int
-		do       func()
-	}
-
-	eventHeap []eventItem
 )
 
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].sequence < h[j].sequence
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(eventItem)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // newSimulation returns a simulation with the given numbers of instances and
 // endpoints, which alternate between two data centres.
 func newSimulation(t testing.TB, seed uint64, instances, endpoints int) *simulation {
@@ -198,22 +173,6 @@
 	return max(uint64(sim.now.UnixNano()), n.self.Incarnation+1)
 }
 
-func (sim *simulation) after(d time.Duration, do func()) {
-	sim.sequence++
-	heap.Push(&sim.events, eventItem{sim.now.Add(d), sim.sequence, do})
-}
-
-// advance runs all events of the next d.
-func (sim *simulation) advance(d time.Duration) {
-	end := sim.now.Add(d)
-	for len(sim.events) > 0 && !sim.events[0].at.After(end) {
-		e := heap.Pop(&sim.events).(eventItem)
-		sim.now = e.at
-		e.do()
-	}
-	sim.now = end
-}
-
 // startInstance starts an instance as a new incarnation.
 func (sim *simulation) startInstance(i int) {
 	n := sim.instances[i]
