pool: an unanswered poll does not take an unguarded endpoint's slots away

Traced: since an endpoint that does not guard its size counts as not ready while it runs something and has not answered a poll for 250 ms, so that admission saw no slots at all and refused jobs. Such an endpoint gets no further run until it answers, which is the purpose; its slots count now.

TestUnansweredPollKeepsSlots failed before.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -239,7 +239,7 @@
 
 // accepts reports whether the endpoint can run the task now.
 func (e *endpointState) accepts(now time.Time, s message.StartRun) bool {
-	if !e.readyFor(now, s.Run.Task) || e.info.Service != s.Service {
+	if !e.readyFor(now, s.Run.Task) || e.info.Service != s.Service || e.awaitsAnswer(now) {
 		return false
 	}
 	if e.info.Slots > 0 && len(e.runs)+e.reserved >= e.info.Slots || e.atColdLimit(now, s.Needs) {
@@ -260,7 +260,7 @@
 	if !e.active || e.closed || e.releasing || e.isolatedFor != "" && e.isolatedFor != task || e.info.Draining || !e.clock.known() || e.silent(now) {
 		return false
 	}
-	if e.unknownRuns > 0 || e.unguarded && !e.sizeKnown(now) {
+	if e.unknownRuns > 0 || e.unguarded && !e.infoIsCurrent() {
 		return false
 	}
 	if e.hasOverdueStop(now.Add(-minAnswerTimeout)) {
--- a/pool/size.go
+++ b/pool/size.go
@@ -53,11 +53,11 @@
 	e.info.Size = reply.Size
 }
 
-// sizeKnown reports whether the size is that of the boot that answers, since a later one
-// may be smaller. An endpoint that was idle may have restarted unnoticed: it gets one
-// run, and more once it has answered.
-func (e *endpointState) sizeKnown(now time.Time) bool {
-	return e.infoIsCurrent() && (!e.answerIsOld(now) || len(e.runs)+e.reserved == 0)
+// awaitsAnswer reports whether the endpoint gets no further run until it has answered: it
+// does not guard its size, and may have restarted with a smaller one. The first run after
+// it was idle comes with a poll.
+func (e *endpointState) awaitsAnswer(now time.Time) bool {
+	return e.unguarded && len(e.runs)+e.reserved > 0 && e.answerIsOld(now)
 }
 
 // infoIsCurrent reports whether the info describes the boot that answers. A later one
--- a/pool/sizes_test.go
+++ b/pool/sizes_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/endpoint"
+	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/run"
 )
 
@@ -176,3 +177,24 @@
 	is.Equal(len(c.answers), 1)
 	is.True(c.answers[0] == nil)
 }
+
+// TestUnansweredPollKeepsSlots guards against jobs that are refused because endpoints that
+// don't guard their size have left a poll unanswered: they get no further run until they
+// answer, but their slots count.
+func TestUnansweredPollKeepsSlots(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 1, 1)
+	sim.unguard()
+	sim.submit(0, &longQueue, 4*time.Second, step(1, 2*time.Second))
+	sim.advance(300 * time.Millisecond)
+	m := sim.instances[0].machine
+	before, _ := m.slotTotals(sim.now, "s")
+	is.True(before > 0)
+	sim.addTrouble(500*time.Millisecond, trouble{problem: orderLost, kinds: []orderKind{pollOrder}, share: 1})
+	sim.advance(450 * time.Millisecond)
+	is.True(m.held[0].answerIsOld(sim.now))
+	slots, _ := m.slotTotals(sim.now, "s")
+	is.Equal(slots, before)
+	is.True(!m.held[0].accepts(sim.now, message.StartRun{Service: "s", Needs: needs(1)}))
+}
