pool: one test of whether an endpoint suits a task, and no counter of stops

Read once more: avoidFailed had the same test as suits beside it and calls it now; the number of a run's stops only told whether there was an earlier outcome, which the outcome tells itself. No change of behaviour.

--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -173,11 +173,11 @@
 		// stopRequestedAt is when a stop was first requested, stopSentAt when
 		// it was last sent, and stopAcceptedAt when the endpoint accepted it.
 		stopRequestedAt, stopSentAt, stopAcceptedAt time.Time
-		// stopOutcome is the outcome of the last answered one of stopAttempts stops, and
-		// refusedStops the number of those since the last other outcome whose
+		// stopOutcome is the outcome of the last stop, Accepted before the first, and
+		// refusedStops the number of stops since the last other outcome whose
 		// connections were refused.
-		stopOutcome                Outcome
-		stopAttempts, refusedStops int
+		stopOutcome  Outcome
+		refusedStops int
 		// overduePollAt is when the next immediate poll is due because the run
 		// is overdue. overduePollInterval is the time from the last of them to
 		// the next; before the first one, it is minOverdue.
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -257,11 +257,10 @@
 	}
 	avoid := append(t.avoid, id)
 	step := t.job.Steps[t.step]
+	s := message.StartRun{Service: t.job.Queue.Service, Needs: step.Needs, Requires: step.Requires, Avoid: avoid}
 	others := 0
 	for _, e := range m.sortedEndpoints {
-		suits := e.info.Service == t.job.Queue.Service && !e.closed && !e.info.Draining && fitsWithin(step.Needs, e.info.Size) &&
-			(step.Requires == "" || slices.Contains(e.info.Labels, step.Requires))
-		if suits && !slices.Contains(avoid, e.info.ID) {
+		if !e.closed && !e.info.Draining && e.suits(s) {
 			others++
 		}
 	}
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -145,14 +145,13 @@
 	if r == nil {
 		return o != Accepted
 	}
-	logged = o != Accepted && (r.stopAttempts == 0 || o != r.stopOutcome)
+	logged = o != Accepted && o != r.stopOutcome
 	r.stopOutcome = o
-	r.stopAttempts++
-	if o != ConnectionRefused {
+	if o == ConnectionRefused {
+		r.refusedStops++
+	} else {
 		r.refusedStops = 0
-		return logged
 	}
-	r.refusedStops++
 	return logged
 }
 
