patience, pool, runner, platform: jobs that are sent again after an outage come after new ones

Cause: goal, latest start and use counted from the arrival here. A caller that had waited for 1.3 s or more looked like a new one.

Change: package patience learns, for each queue, how long callers state that they wait, by the goal of their job, and with what error; after an outage a job with clearly less time left counts from when its caller began to wait, and is served after all others. What is learnt is kept in one row of the store, since a full restart is when it is needed (docs/design/PATIENCE.md).

Tests: vet, staticcheck, pool without the known red ones, platform, runner, admission and patience pass.

--- a/message/pool.go
+++ b/message/pool.go
@@ -77,8 +77,8 @@
 	// WaitingTasks is the demand of the waiting tasks of one priority.
 	WaitingTasks struct {
 		Priority int
-		// Late reports that their jobs were admitted although they can't meet
-		// their goals. They are less urgent than all other tasks.
+		// Late reports that the callers of their jobs had waited for too long
+		// before they sent them here. They are less urgent than all other tasks.
 		Late  bool
 		Tasks int
 		// Slack is the time from the sending of the message until the first of
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -42,7 +42,7 @@
 	}
 	switch {
 	case f == nil:
-		if now.Sub(m.startedAt) >= startupTime && !m.isRetry(now, j) { // earlier arrivals are mostly retries
+		if now.Sub(m.startedAt) >= startupTime && !j.late && !m.isRetry(now, j) { // earlier arrivals are mostly retries
 			m.arrivals.add(now, j.Queue.Service, j.Queue.Priority, totalWork(j.Job))
 		}
 	case f.Kind == fault.QueueFull:
--- a/pool/caller_test.go
+++ b/pool/caller_test.go
@@ -21,6 +21,7 @@
 	// callerJob is a job as its caller sees it.
 	callerJob struct {
 		job          Job
+		sentAt       time.Time // first
 		attempts     int
 		refused      int
 		answers      []*fault.Error
@@ -46,7 +47,7 @@
 // newJob returns a job that has not been submitted.
 func (sim *simulation) newJob(q *route.Queue, deadline time.Duration, steps ...Step) *callerJob {
 	sim.lastJob++
-	c := &callerJob{job: Job{ID: fmt.Sprintf("j%04d", sim.lastJob), Queue: q, Spec: "x", Steps: steps, Deadline: sim.now.Add(deadline)}}
+	c := &callerJob{sentAt: sim.now, job: Job{ID: fmt.Sprintf("j%04d", sim.lastJob), Queue: q, Spec: "x", Steps: steps, Deadline: sim.now.Add(deadline)}}
 	sim.observer.jobs[c.job.ID] = c
 	return c
 }
--- a/pool/history.go
+++ b/pool/history.go
@@ -19,7 +19,7 @@
 	fmt.Fprintf(&b, "queue=%s took=%s goal=%s", j.Queue.Name, milliseconds(now.Sub(j.arrived)), milliseconds(j.goal.Sub(j.arrived)))
 	switch {
 	case j.late:
-		b.WriteString(" late")
+		fmt.Fprintf(&b, " late waited=%s", milliseconds(j.waited))
 	case j.deferred:
 		b.WriteString(" deferred")
 	}
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -41,8 +41,10 @@
 		// Spec is passed to the endpoints unchanged.
 		Spec  string
 		Steps []Step
-		// Deadline is when the caller stops waiting.
-		Deadline time.Time
+		// Deadline is when the caller stops waiting. DeadlineStated reports that the
+		// caller has stated it.
+		Deadline       time.Time
+		DeadlineStated bool
 	}
 
 	// Step is a group of identical tasks.
@@ -84,10 +86,11 @@
 		possiblyStarted bool
 		// sizesCounted reports that the job's tasks are included in taskSizes.
 		sizesCounted bool
-		// deferred reports that the job can't meet its goal any more. late
-		// reports that this was known when it was admitted, so that it is served
-		// after all others.
+		// deferred reports that the job can't meet its goal any more. late reports
+		// that its caller had waited for too long before it sent the job here, so
+		// that it is served after all others, and waited is how long.
 		deferred, late bool
+		waited         time.Duration
 		queued         bool
 		ended          bool
 		// suspended reports that the process was suspended while the job was
@@ -168,6 +171,7 @@
 	h.goal = now.Add(goal)
 	h.startBy = h.goal.Add(-chain)
 	h.expiresAt = now.Add(lateFactor * goal)
+	h.countWaited(now, m.waited(now, h))
 	lastNumber := m.runNumbers.byJob[j.ID]
 	if m.draining {
 		h.Deadline = earlier(h.Deadline, m.stopsAt)
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -70,7 +70,12 @@
 		if sim.taskCores != nil {
 			tasks.Needs = needs(sim.taskCores())
 		}
-		c := sim.newJob(k.queue, 2500*time.Millisecond, tasks)
+		wait := 2500 * time.Millisecond
+		if sim.patience != nil {
+			wait = sim.patience(k.queue.Goal(k.run))
+		}
+		c := sim.newJob(k.queue, wait, tasks)
+		c.job.DeadlineStated = sim.patience != nil
 		c.tally = tallies[k.queue.Name]
 		c.tally.submitted++
 		c.runTime = k.run
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -9,6 +9,7 @@
 	"github.com/lovagecrank/lovagecrank/admission"
 	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/patience"
 )
 
 const (
@@ -103,7 +104,10 @@
 		peers map[instance.Ref]*peer
 		// lostPeers are the peers whose stream ended less than reconnectTimeout
 		// ago.
-		lostPeers  map[instance.Ref]*peer
+		lostPeers map[instance.Ref]*peer
+		// peerLostAt is when the last peer was lost without a planned stop; zero if
+		// none was.
+		peerLostAt time.Time
 		membership membership
 		// reassignNeeded reports that the endpoints must be assigned again: the
 		// endpoints, the peers or what they hold changed, or a tick passed.
@@ -153,6 +157,8 @@
 		// offerCounts counts the offers, for metrics.
 		offerCounts OfferCounts
 		arrivals    arrivals
+		// patience is what is known of how long callers wait.
+		patience *patience.Learner
 		// shortages tell whether tasks wait for slots all the time, by service.
 		shortages map[string]*admission.Shortage
 		// taskSizes describes the sizes of tasks, by service.
@@ -200,6 +206,7 @@
 		shares:        newShares(cfg.Self.ID),
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
+		patience:      patience.NewLearner(),
 		shortages:     map[string]*admission.Shortage{},
 		losses:        crash.NewLedger(),
 		suspects:      map[string]*homeTask{},
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -112,6 +112,9 @@
 	delete(m.peers, ref)
 	m.sortedPeers = slices.DeleteFunc(m.sortedPeers, func(o *peer) bool { return o == p })
 	p.lostAt = now
+	if !p.status.Draining { // a planned stop breaks no requests
+		m.peerLostAt = now
+	}
 	m.lostPeers[ref] = p
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -73,9 +73,12 @@
 		// taskCores returns the cores that the tasks of the next job need; nil means
 		// that all need the same.
 		taskCores func() float64
-		calls     map[uint64]*attempt
-		lastCall  uint64
-		lastJob   int
+		// patience returns how long the callers of the generated load wait, by their
+		// goal; nil means that they state no time.
+		patience func(goal time.Duration) time.Duration
+		calls    map[uint64]*attempt
+		lastCall uint64
+		lastJob  int
 		// onMessage may change a message on its way and returns how long it is
 		// delayed; nil for none.
 		onMessage func(msg *message.Message) time.Duration
--- a/runner/run.go
+++ b/runner/run.go
@@ -61,7 +61,7 @@
 			failed <- err
 		}
 	})
-	for _, loop := range []func(){r.tick, r.followConfiguration, r.followEndpoints, r.followInstances} {
+	for _, loop := range []func(){r.tick, r.followConfiguration, r.followEndpoints, r.followInstances, r.keepPatience} {
 		group.Go(loop)
 	}
 	r.Record(time.Now(), event.Record{Kind: event.Started, Subject: r.cfg.Self.ID, Detail: r.cfg.Callers.String()})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/metric"
+	"github.com/lovagecrank/lovagecrank/patience"
 	"github.com/lovagecrank/lovagecrank/peer"
 	"github.com/lovagecrank/lovagecrank/pool"
 	"github.com/lovagecrank/lovagecrank/route"
@@ -67,6 +68,11 @@
 		// RemoveInstance removes the entry of an instance unless it has changed
 		// since it was read.
 		RemoveInstance(ctx context.Context, l ListedInstance) error
+		// Patience returns what instances have kept of how long callers wait; nil
+		// if there is nothing that this release can read.
+		Patience(ctx context.Context) ([]patience.Profile, error)
+		// KeepPatience replaces what Patience returns.
+		KeepPatience(ctx context.Context, profiles []patience.Profile) error
 	}
 
 	// ConfigurationChange is the result of reading the configuration.
