admission, pool: jobs past their goal are admitted by the arrivals of their own class too

Cause: while the shortage did not count as lasting, a job past its goal was admitted by what waits alone, though new jobs of its own class go before it; and the slots that such a job leaves to urgent ones were also kept from its last tasks, after others had run.

Change: the wait of such a job counts the arrivals of its own priority, at any time, and the measure of the shortage goes. A job that has begun ignores the reserve. The margins of the wait are thinner (0.1 and 2 in place of 0.2 and 3), as now what is admitted wrongly only comes a little late.

Tests: package pool without the known red ones, admission, vet.

--- a/admission/load.go
+++ b/admission/load.go
@@ -18,8 +18,8 @@
 	// loadErrorMargin is the assumed relative error of the known load.
 	// waitStdDevs is by how many standard deviations the wait of the job's last task
 	// may exceed its mean while the job is still on time.
-	loadErrorMargin = 0.2
-	waitStdDevs     = 3
+	loadErrorMargin = 0.1
+	waitStdDevs     = 2
 )
 
 type (
@@ -35,8 +35,6 @@
 	Load struct {
 		// Slots and Free count the slots that are known, and those that are free.
 		Slots, Free int
-		// Waiting is how many tasks wait for them, whatever their rank.
-		Waiting int
 		// Tasks and Work are the number and total run time of the tasks that are
 		// served before the job. Work includes the job itself.
 		Tasks int
@@ -67,7 +65,6 @@
 // AddBacklog adds the tasks in a backlog that are served before a job of the rank.
 func (l *Load) AddBacklog(backlog []message.WaitingTasks, r Rank) {
 	for _, w := range backlog {
-		l.Waiting += w.Tasks
 		if r.PrecededBy(Rank{w.Late, w.Priority}) {
 			l.Tasks += w.Tasks
 			l.Work += w.Work
@@ -95,9 +92,6 @@
 	return max(float64(l.Slots)-l.UrgentSlots, minCapacityShare*float64(l.Slots))
 }
 
-// Short reports whether more tasks wait than slots are free.
-func (l Load) Short() bool { return l.Waiting > l.Free }
-
 // Wait returns an upper bound of the time until the last of a job's tasks starts: the
 // work beyond the free slots, divided by the slots that more urgent jobs leave, times
 // tailFactor.
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -29,14 +29,12 @@
 
 // admit returns why a job is refused as not run, or nil, and the load that it
 // finds. A job that can't meet its goal but can still be answered in time to be
-// useful waits behind those of its priority that can, unless the shortage lasts.
+// useful waits behind those of its priority that can.
 func (m *Machine) admit(now time.Time, j *homeJob) (*fault.Error, admission.Load) {
 	f, l := m.refusal(now, j)
-	shortage := m.shortageOf(j.Queue.Service)
-	shortage.Observe(now, l.Short())
-	if f != nil && f.Kind == fault.QueueFull && !shortage.Lasting() {
+	if f != nil && f.Kind == fault.QueueFull {
 		j.deferUntilExpiry()
-		if m.refusalForLoad(now, j, l) == nil {
+		if m.refusalForLoad(now, j, m.load(now, j)) == nil {
 			f = nil
 		}
 	}
@@ -51,16 +49,6 @@
 	return f, l
 }
 
-// shortageOf returns the shortage of slots of a service.
-func (m *Machine) shortageOf(service string) *admission.Shortage {
-	s := m.shortages[service]
-	if s == nil {
-		s = admission.NewShortage(m.startedAt)
-		m.shortages[service] = s
-	}
-	return s
-}
-
 // deferUntilExpiry makes the job wait behind those of its priority that can meet
 // their goal.
 func (j *homeJob) deferUntilExpiry() {
@@ -135,6 +123,15 @@
 	return true
 }
 
+// priorityAhead returns the priority below which arriving work is served before the
+// job. A deferred job waits behind all new ones of its own priority.
+func (j *homeJob) priorityAhead() int {
+	if j.deferred {
+		return j.Queue.Priority + 1
+	}
+	return j.Queue.Priority
+}
+
 // rank returns the job's place in the order in which jobs are served.
 func (j *homeJob) rank() admission.Rank {
 	return admission.Rank{Late: j.late, Priority: j.Queue.Priority}
@@ -157,11 +154,7 @@
 	var l admission.Load
 	l.Slots, l.Free = m.slotTotals(now, service)
 	for _, q := range m.queue {
-		if q == j || q.Queue.Service != service {
-			continue
-		}
-		l.Waiting += len(q.waiting)
-		if !rank.PrecededBy(q.rank()) {
+		if q == j || q.Queue.Service != service || !rank.PrecededBy(q.rank()) {
 			continue
 		}
 		for _, t := range q.waiting {
@@ -169,7 +162,7 @@
 			l.Work += q.Steps[t.step].Estimate
 		}
 	}
-	l.UrgentSlots = admission.UrgentSlots(m.arrivals.rates(now, service), rank.Priority)
+	l.UrgentSlots = admission.UrgentSlots(m.arrivals.rates(now, service), j.priorityAhead())
 	for _, p := range m.sortedPeers {
 		c := p.capacity(service)
 		if c == nil {
@@ -183,7 +176,7 @@
 			continue
 		}
 		l.AddBacklog(c.Backlog, rank)
-		l.UrgentSlots += admission.UrgentSlots(c.Arrivals, rank.Priority)
+		l.UrgentSlots += admission.UrgentSlots(c.Arrivals, j.priorityAhead())
 	}
 	if now.Sub(m.startedAt) < startupTime {
 		// Endpoints are still being claimed, and nothing runs on them.
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lovagecrank/lovagecrank/admission"
 	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/patience"
@@ -159,8 +158,6 @@
 		arrivals    arrivals
 		// patience is what is known of how long callers wait.
 		patience *patience.Learner
-		// shortages tell whether tasks wait for slots all the time, by service.
-		shortages map[string]*admission.Shortage
 		// taskSizes describes the sizes of tasks, by service.
 		taskSizes map[string]*taskSizes
 
@@ -207,7 +204,6 @@
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 		patience:      patience.NewLearner(),
-		shortages:     map[string]*admission.Shortage{},
 		losses:        crash.NewLedger(),
 		suspects:      map[string]*homeTask{},
 		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		m.offerMoreUrgent(now, j.Queue.Service, j, out)
-		if j.deferred && m.needsReserve(now, j) {
+		if j.deferred && !j.mayHaveStarted() && m.needsReserve(now, j) {
 			continue
 		}
 		m.placeJob(now, j, blocked, out)
--- a/pool/view_load.go
+++ b/pool/view_load.go
@@ -23,7 +23,7 @@
 		l.Slots += c.Slots
 		l.Free += c.Free
 		l.AddBacklog(c.Backlog, rank)
-		l.UrgentSlots += admission.UrgentSlots(c.Arrivals, rank.Priority)
+		l.UrgentSlots += admission.UrgentSlots(c.Arrivals, j.priorityAhead())
 		l.Arrivals += admission.AllSlots(c.Arrivals)
 		drift.Add(capacity.DriftOf(admission.SlotsAhead(c.Arrivals, rank), c.Slots-c.Free, age, mean))
 	}
