--- a/patience/learner.go
+++ b/patience/learner.go
@@ -75,8 +75,8 @@
 
 // Waited returns how long a caller has probably waited before it sent a request with
 // the given time left; zero if this time is not clearly shorter than what the other
-// callers of the queue wait. It is off by at most Margin for all but shortShare of the
-// callers on either side.
+// callers of the queue wait. It is too long by more than the margin of the queue for
+// shortShare of the callers.
 func (l *Learner) Waited(queue string, goal, left time.Duration) time.Duration {
 	q := l.queues[queue]
 	if q == nil || q.callers < minCallers {
@@ -89,10 +89,10 @@
 	return time.Duration(-e * float64(time.Second))
 }
 
-// Margin returns by how much the time left of a request has to be shorter than usual
+// margin returns by how much the time left of a request has to be shorter than usual
 // so that its caller counts as having waited; zero if the queue's callers are not
 // known.
-func (l *Learner) Margin(queue string) time.Duration {
+func (l *Learner) margin(queue string) time.Duration {
 	q := l.queues[queue]
 	if q == nil || q.callers < minCallers {
 		return 0
--- a/patience/learner_test.go
+++ b/patience/learner_test.go
@@ -39,7 +39,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	l := NewLearner()
 	learn(rng, l, 400)
-	margin := l.Margin("q")
+	margin := l.margin("q")
 	is.True(margin > 100*time.Millisecond && margin < 400*time.Millisecond)
 	mistaken := 0
 	for range 1000 {
