--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/lovagecrank/lovagecrank/patience"
 )
@@ -71,18 +73,31 @@
 // has to make up for at least half of what is lost against one queue.
 func TestRetryWaveAfterFullRestart(t *testing.T) {
 	t.Parallel()
+	type result struct{ inGoal, oneQueue, all int }
+	const seeds = 3
 	for _, load := range []float64{0.7, 0.85} {
-		inGoal, oneQueue, all, without := 0, 0, 0, 0
-		for seed := uint64(1); seed <= 3; seed++ {
-			a, b, n := freshAfterRestart(t, seed, load, true)
-			inGoal, oneQueue, all = inGoal+a, oneQueue+b, all+n
-			a, _, _ = freshAfterRestart(t, seed, load, false)
-			without += a
-		}
-		t.Logf("load %.2f: of %d new jobs, %d are in their goal, %d without what was kept, %d with one queue", load, all, inGoal, without, oneQueue)
-		if oneQueue-inGoal > (oneQueue-without)/2 {
-			t.Errorf("load %.2f: %d new jobs miss their goal that one queue would meet, %d without what was kept", load, oneQueue-inGoal, oneQueue-without)
-		}
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			t.Parallel()
+			var kept, forgotten [seeds]result
+			var group conc.WaitGroup
+			for i := range seeds {
+				play := func(r *result, keep bool) {
+					r.inGoal, r.oneQueue, r.all = freshAfterRestart(t, uint64(i+1), load, keep)
+				}
+				group.Go(func() { play(&kept[i], true) })
+				group.Go(func() { play(&forgotten[i], false) })
+			}
+			group.Wait()
+			inGoal, oneQueue, all, without := 0, 0, 0, 0
+			for i := range seeds {
+				inGoal, oneQueue, all = inGoal+kept[i].inGoal, oneQueue+kept[i].oneQueue, all+kept[i].all
+				without += forgotten[i].inGoal
+			}
+			t.Logf("of %d new jobs, %d are in their goal, %d without what was kept, %d with one queue", all, inGoal, without, oneQueue)
+			if oneQueue-inGoal > (oneQueue-without)/2 {
+				t.Errorf("%d new jobs miss their goal that one queue would meet, %d without what was kept", oneQueue-inGoal, oneQueue-without)
+			}
+		})
 	}
 }
 
