--- a/command/join.go
+++ b/command/join.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"net/http"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -18,11 +20,37 @@
 func joinFlags(fs *flag.FlagSet) action {
 	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "read the platform's settings from `FILE`")
 	quiet := fs.Bool("quiet", false, "do not write a log")
+	profile := fs.String("cpu-profile", "", "write a profile of the processor time to `FILE` until the process ends")
 	return func(ctx context.Context, s streams, _ []string) error {
+		endProfile, err := startProfile(*profile)
+		if err != nil {
+			return err
+		}
+		defer endProfile()
 		return join(ctx, s, *path, *quiet)
 	}
 }
 
+// startProfile starts a profile of the processor time, unless the path is empty. The
+// caller must call end, which completes the file.
+func startProfile(path string) (end func(), err error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("cpu-profile: %w; name a file that can be written", err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("cpu-profile: %w", err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close()
+	}, nil
+}
+
 // join runs an instance on the platform. The first SIGINT or SIGTERM stops it
 // gracefully, the second at once.
 func join(ctx context.Context, s streams, path string, quiet bool) error {
