--- a/pool/endpoint_log.go
+++ b/pool/endpoint_log.go
@@ -48,6 +48,9 @@
 // holdingsPeriod unless a planned stop has released everything.
 func (m *Machine) logHoldings(now time.Time, out *Output) {
 	h := &m.holdings
+	if len(h.claimed)+len(h.claimedRemote)+len(h.released) == 0 {
+		return
+	}
 	if now.Sub(h.loggedAt) < holdingsPeriod && !(m.draining && len(m.held) == 0) {
 		return
 	}
@@ -59,9 +62,7 @@
 		reason = "this instance stops"
 	}
 	logEndpoints(event.EndpointsReleased, h.released, reason+members, out)
-	if len(h.claimed)+len(h.claimedRemote)+len(h.released) > 0 {
-		*h = holdings{loggedAt: now}
-	}
+	*h = holdings{loggedAt: now}
 }
 
 // logEndpoints logs an event about several endpoints in one line, if there are
--- a/pool/orphans.go
+++ b/pool/orphans.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -85,11 +84,16 @@
 // expireOrphans forgets the orphaned runs that must have ended, though no
 // update confirmed it.
 func (m *Machine) expireOrphans(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(m.orphans)) {
-		if o := m.orphans[name]; !o.expiresAt.IsZero() && !now.Before(o.expiresAt) {
-			m.removeOrphan(name, o)
+	var expired []string
+	for name, o := range m.orphans {
+		if !o.expiresAt.IsZero() && !now.Before(o.expiresAt) {
+			expired = append(expired, name)
 		}
 	}
+	slices.Sort(expired)
+	for _, name := range expired {
+		m.removeOrphan(name, m.orphans[name])
+	}
 }
 
 // reachable reports whether ref is this instance or a connected peer.
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -127,6 +127,9 @@
 
 // lostPeerRefs returns the lost peers in a deterministic order.
 func (m *Machine) lostPeerRefs() []instance.Ref {
+	if len(m.lostPeers) == 0 {
+		return nil // at each tick
+	}
 	return slices.SortedFunc(maps.Keys(m.lostPeers), func(a, b instance.Ref) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
--- a/runner/run.go
+++ b/runner/run.go
@@ -21,6 +21,9 @@
 	// machine's Tick.
 	minTickInterval = time.Millisecond
 	maxTickInterval = 100 * time.Millisecond
+	// viewInterval is the minimum time between two snapshots of the machine, which
+	// metrics and the readiness probe read.
+	viewInterval = 40 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeaderBytes are the limits for connections
 	// to all three HTTP servers: the platform's usual values for callers. The limits
 	// of the configuration do not change them.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -365,6 +365,7 @@
 func (r *Runner) tick() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var viewedAt time.Time
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -374,8 +375,11 @@
 			r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) {
 				r.wake = time.Time{}
 				m.Tick(now, out)
-				v := m.View(now)
-				r.view.Store(&v)
+				if now.Sub(viewedAt) >= viewInterval {
+					viewedAt = now
+					v := m.View(now)
+					r.view.Store(&v)
+				}
 			})
 			r.requestLists(time.Now())
 			r.requestConfiguration(time.Now())
