pool: a refusal says how long its caller has waited

After a restart of all instances a job that its caller had sent before was refused with "no place was free for 1.3 ms", though the caller had waited 1.8 s: the text had the time since the job came here. It has both now (TestRefusalSaysHowLongTheCallerWaited).

--- a/pool/expiry.go
+++ b/pool/expiry.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -51,5 +52,15 @@
 	if j.mayHaveStarted() {
 		return fault.New(fault.DeadlineExceeded, "%d tasks had not ended after %s", j.unfinished, now.Sub(j.arrived))
 	}
-	return fault.New(fault.DeadlineTooNear, "no place was free for %s", now.Sub(j.arrived)).WithRetryAfter(m.retryAfter(now, j, m.load(now, j)))
+	return fault.New(fault.DeadlineTooNear, "no place was free for %s", j.describeWait(now)).WithRetryAfter(m.retryAfter(now, j, m.load(now, j)))
+}
+
+// describeWait returns how long the caller has waited, and how much of it here if it had
+// sent the job elsewhere before.
+func (j *homeJob) describeWait(now time.Time) string {
+	here := now.Sub(j.arrived)
+	if j.waited == 0 {
+		return here.String()
+	}
+	return fmt.Sprintf("%s, %s of it here", milliseconds(j.waited+here), here)
 }
