--- a/runner/run.go
+++ b/runner/run.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// minTickInterval and maxTickInterval limit the time between two calls of the
-	// machine's Tick.
-	minTickInterval = time.Millisecond
+	// minTickDelay is the least time until the machine's Tick after an input that
+	// requests one, so that what becomes due meanwhile is handled together. Other
+	// inputs handle what is due too. maxTickInterval is the longest time between two
+	// calls of Tick.
+	minTickDelay    = 8 * time.Millisecond
 	maxTickInterval = 100 * time.Millisecond
 	// viewInterval is the minimum time between two snapshots of the machine, which
 	// metrics and the readiness probe read.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -388,10 +388,10 @@
 	}
 }
 
-// untilTick returns the time until the next Tick, from minTickInterval to
+// untilTick returns the time until the next Tick, from minTickDelay to
 // maxTickInterval.
 func (r *Runner) untilTick() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return min(max(time.Until(r.wake), minTickInterval), maxTickInterval)
+	return min(max(time.Until(r.wake), minTickDelay), maxTickInterval)
 }
