--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -26,7 +26,7 @@
 	// control work is 3.9 % of the processor. backlogCPUShare may exceed it because
 	// shares change continuously only while many tasks wait, and each change is one
 	// message, without which a slot of the receiver stands idle.
-	messageCost     = 80 * time.Microsecond
+	messageCost     = 60 * time.Microsecond
 	backlogCPUShare = 0.1
 	otherCPUShare   = 0.01
 	// minShiftShare is the relative change in the number of free slots above
--- a/scripts/compare-ways.sh
+++ b/scripts/compare-ways.sh
@@ -47,7 +47,7 @@
   local out; out=$(cd "$tmp/v$1" && "$bench" run "$2" "$3" ${seed[@]+"${seed[@]}"} ${until[@]+"${until[@]}"} $nocpu --why "${WHY:-compare}" 2>&1) || true
   local name; name=$(basename "$3" .toml)
   awk -v v="$1" -v s="$(basename "$2" .toml)" -v d="$name" -v r="$4" '
-    !w && $1==d && $2 ~ /^[0-9]+\// {w=$4} /BROKEN/ {b=1} /processor seconds/ {c=$2}
+    !w && $2 ~ /^[0-9]+\// {w=$4} /BROKEN/ {b=1} /processor seconds/ {c=$2}
     END {print v, s, d, r, (w=="" ? "failed" : w), b+0, (c=="" ? 0 : c)}' <<<"$out" >>"$tmp/result"
   [ -z "${KEEP:-}" ] || { mkdir -p "$KEEP"; printf '%s\n' "$out" >"$KEEP/v$1-$(basename "$2" .toml)-$name-$4.txt"; }
 }
