--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	resp, err := conn.exchange(ctx, r, deadline, c.cfg.MaxBodyBytes)
+	resp, err := conn.exchange(ctx, r, c.cfg.MaxBodyBytes)
 	if err != nil || !conn.reusable {
 		conn.close()
 		return resp, err
@@ -153,14 +153,15 @@
 
 func (h *host) release() { <-h.slots }
 
-// connect returns an idle connection that the host has not closed, or a new one.
+// connect returns an idle connection that the host has not closed, or a new one, with
+// the deadline set.
 func (c *Client) connect(ctx context.Context, h *host, a netip.AddrPort, deadline time.Time) (*conn, error) {
 	for {
 		idle := c.takeIdle(h)
 		if idle == nil {
 			break
 		}
-		if idle.alive() {
+		if idle.alive(deadline) {
 			return idle, nil
 		}
 		idle.close()
@@ -171,6 +172,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := tcp.SetDeadline(deadline); err != nil {
+		_ = tcp.Close()
+		return nil, err
+	}
 	return newConn(tcp), nil
 }
 
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -98,6 +98,20 @@
 	is.Equal(opened.Load(), int64(3))
 }
 
+// Guards against a new connection for each request after a pause: the deadline of the
+// last request made the check of the connection fail.
+func TestIdleLongerThanTimeout(t *testing.T) {
+	is := is.New(t)
+	s, opened := countingServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := New(testConfig)
+	for range 3 {
+		_, err := c.Do(t.Context(), Request{Method: "GET", Address: addressOf(s), Path: "/", Timeout: 50 * time.Millisecond})
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Equal(opened.Load(), int64(1))
+}
+
 func TestNotReusable(t *testing.T) {
 	is := is.New(t)
 	s, opened := countingServer(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -37,10 +37,11 @@
 func (c *conn) close() { _ = c.Close() }
 
 // alive reports whether an idle connection is still open and has no data. A request
-// on one that the host has closed would be lost without an answer.
-func (c *conn) alive() bool {
+// on one that the host has closed would be lost without an answer. It sets the deadline,
+// since that of the last request would fail the check.
+func (c *conn) alive(deadline time.Time) bool {
 	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
+	if !ok || c.reader.Buffered() > 0 || c.SetDeadline(deadline) != nil {
 		return false
 	}
 	rc, err := raw.SyscallConn()
@@ -56,12 +57,9 @@
 	return err == nil && (errors.Is(readErr, syscall.EAGAIN) || errors.Is(readErr, syscall.EINTR))
 }
 
-// exchange sends a request and reads its response before the deadline, or until the
-// context ends. After an error the connection must be closed.
-func (c *conn) exchange(ctx context.Context, r Request, deadline time.Time, maxBody int64) (Response, error) {
-	if err := c.SetDeadline(deadline); err != nil {
-		return Response{}, err
-	}
+// exchange sends a request and reads its response before the connection's deadline, or
+// until the context ends. After an error the connection must be closed.
+func (c *conn) exchange(ctx context.Context, r Request, maxBody int64) (Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(0, 1)) })
 	c.request = appendRequest(c.request[:0], r)
 	_, err := c.Write(c.request)
