--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -234,7 +234,7 @@
 	}))
 	defer s.Close()
 	c := New(testConfig)
-	r := Request{Method: "POST", Address: addressOf(s), Path: "/api/run-start", Body: []byte(`{"task":"5c0e7a21d94b36f8.0.0.1","run":1}`), Timeout: time.Second}
+	r := Request{Method: "POST", Address: addressOf(s), Path: "/orders", Body: []byte(`{"order":"5c0e7a21d94b36f8.0.0.1","number":1}`), Timeout: time.Second}
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := c.Do(b.Context(), r); err != nil {
