footprint, pool, runner, platform: a job is counted before its tasks are made

Cause: Submit made every task of a job before admission, with the machine's lock held, and nothing bounded the tasks of one job, the sum of all open jobs, or the bodies that are read and decoded at the same moment.

Ruled out: a bound on one step's count alone (40 steps of 100,000 tasks; totals that overflow), and a bound on one job alone.

Change: package footprint estimates a job from its counts and has a budget of a quarter of the instance's memory (limits.memoryMb). A job of more tasks than `join -job-tasks` (4,096) is refused as LC1028, one that finds no memory left as LC1008 with a time to come back. Tasks are made after admission.

Why it works: nothing is made for a task, or for a body, before its memory is reserved, and the sum of the reservations is bounded.

TestUsefulElsewhere makes the tasks of its job itself, since newJob does not.

--- a/fault/table.go
+++ b/fault/table.go
@@ -36,6 +36,7 @@
 	SubmissionUnchecked
 	NotReady
 	JobUnsupported
+	JobTooLarge
 	numKinds
 )
 
@@ -85,6 +86,7 @@
 	SubmissionUnchecked:  row("LC1025", "submission_unchecked", http.StatusServiceUnavailable, false, "Submission id could not be checked", "This request started nothing and never will. It is not known whether an earlier request with the same id did, because the platform's store gives no answer.", "Wait for the given time and submit again with the same id; ids from POST /v1/submission_ids need no store. Do not use another id unless this was the first request for the work."),
 	NotReady:             row("LC1026", "not_ready", http.StatusServiceUnavailable, true, "Instance is not ready", "The instance has just started and does not know the classes, the teams or the endpoints yet.", "Submit again; the balancer picks another instance."),
 	JobUnsupported:       row("LC1027", "job_unsupported", http.StatusServiceUnavailable, true, "Kind of job is not served", "The job uses a feature that is not supported yet: it must be kept after its answer, runs several times or until it is cancelled, or has an unsupported kind of step.", "Submit jobs that are answered when they end, of ordinary steps."),
+	JobTooLarge:          row("LC1028", "job_too_large", http.StatusServiceUnavailable, true, "Job is larger than an instance accepts", "The job has more tasks, or takes more memory, than the limit that the detail names.", "Split the job, or ask an operator to raise -job-tasks of `lovagecrank join` or the memory of the instances."),
 }
 
 func row(code, name string, status int, notRun bool, title, text, remedy string) Row {
--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -38,6 +38,9 @@
 		// Jobs is the number of jobs that are not answered yet, and Runs the
 		// number of runs on endpoints that the instance holds.
 		Jobs, Runs int
+		// JobMemory and MaxJobMemory are the bytes that the callers' jobs take, and
+		// that they may take.
+		JobMemory, MaxJobMemory int64
 		// EndpointStates is the number of endpoints that the instance holds, by
 		// the name of their state.
 		EndpointStates map[string]int
@@ -147,6 +150,8 @@
 	s, dst := c.read(), sink(ch)
 	dst.addInstance(s.Ready, s.ConfigurationVersion, s.StoreReachable, s.PeersLive, s.EndpointStates)
 	dst.add(openJobs, float64(s.Jobs))
+	dst.add(jobMemory, float64(s.JobMemory), "used")
+	dst.add(jobMemory, float64(s.MaxJobMemory), "limit")
 	dst.add(heldRuns, float64(s.Runs))
 	dst.add(endpointLosses, float64(s.EndpointsLost.Suspected), "suspected")
 	dst.add(endpointLosses, float64(s.EndpointsLost.Proved), "proved")
--- a/metric/table.go
+++ b/metric/table.go
@@ -34,6 +34,7 @@
 	answerSeconds
 	orders
 	openJobs
+	jobMemory
 	heldRuns
 	profileMessages
 	endpointLosses
@@ -110,6 +111,7 @@
 	answerSeconds:        {"lovagecrank_answer_seconds", histogram, "seconds", []string{"queue", "outcome", "reason"}, "On the platform: time from the arrival of a job to its answer by queue, outcome (complete, not_run, failed or cancelled) and the code of the reason.", "Look up the code with lovagecrank explain; docs/OPERATIONS.md describes how to find the cause for a job."},
 	orders:               {"lovagecrank_orders_total", counter, "orders", []string{"order", "verdict"}, "On the platform: orders to endpoints by kind (start, stop or look, which polls) and outcome.", "If unanswered or fenced rises, see events LC2061 to LC2063 in the log."},
 	openJobs:             {"lovagecrank_open_jobs", gauge, "jobs", nil, "On the platform: jobs on this instance that are not answered yet.", noAction},
+	jobMemory:            {"lovagecrank_job_memory_bytes", gauge, "bytes", []string{"state"}, "On the platform: memory for the bodies and open jobs of callers, as estimated from their sizes, by state: used or limit.", "If used nears limit, jobs are refused with LC1008: look for jobs of many tasks, or give the instances more memory."},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
 	endpointLosses:       {"lovagecrank_endpoint_losses_total", counter, "endpoints", []string{"state"}, "On the platform: endpoints that this instance held and that were lost with runs, by state: suspected counts all, proved those that have started again, withdrawn those that were only silent.", "If proved ones rise, look in the log at LC2086 for tasks that several of them have in common. If withdrawn ones rise, check the network to the endpoints."},
 	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
 	"github.com/lovagecrank/lovagecrank/route"
@@ -153,6 +154,7 @@
 		out.Answers = append(out.Answers, Answer{Call: call, Fault: refusal})
 		return
 	}
+	h.makeTasks(m.runNumbers.byJob[j.ID])
 	m.jobs[j.ID] = h
 	m.calls[call] = h
 	if m.hasOrphans(j.ID) {
@@ -163,7 +165,8 @@
 	m.advance(now, out)
 }
 
-// newJob returns the job with all tasks blocked.
+// newJob returns the job without its tasks, so that a job that is refused costs the same
+// whatever the number of its tasks.
 func (m *Machine) newJob(now time.Time, call uint64, j Job) *homeJob {
 	h := &homeJob{Job: j, call: call, arrived: now}
 	chain := longestChain(j.Steps)
@@ -172,20 +175,33 @@
 	h.startBy = h.goal.Add(-chain)
 	h.expiresAt = now.Add(lateFactor * goal)
 	h.countWaited(now, m.waited(now, h))
-	lastNumber := m.runNumbers.byJob[j.ID]
 	if m.draining {
 		h.Deadline = earlier(h.Deadline, m.stopsAt)
 	}
+	h.unfinished = j.Size().Tasks
+	return h
+}
+
+// makeTasks makes the tasks of an admitted job, all of them blocked. lastNumber is the
+// last run number of an earlier request for the job.
+func (j *homeJob) makeTasks(lastNumber int64) {
 	for i, s := range j.Steps {
 		tasks := make([]*homeTask, s.Tasks)
 		for index := range tasks {
-			tasks[index] = &homeTask{job: h, step: i, index: index, name: taskName(j.ID, i, index), number: lastNumber}
+			tasks[index] = &homeTask{job: j, step: i, index: index, name: taskName(j.ID, i, index), number: lastNumber}
 		}
-		h.steps = append(h.steps, tasks)
-		h.unfinishedByStep = append(h.unfinishedByStep, s.Tasks)
-		h.unfinished += s.Tasks
+		j.steps = append(j.steps, tasks)
+		j.unfinishedByStep = append(j.unfinishedByStep, s.Tasks)
 	}
-	return h
+}
+
+// Size returns the number of the job's tasks and the memory that they take.
+func (j Job) Size() footprint.Size {
+	var size footprint.Size
+	for _, s := range j.Steps {
+		size.AddStep(s.Tasks, len(s.After), len(s.Requires)+len(s.Rack))
+	}
+	return size
 }
 
 // taskName returns the task's name on endpoints: the job's ID, the number of the
--- a/pool/lifetime_rules_test.go
+++ b/pool/lifetime_rules_test.go
@@ -182,6 +182,7 @@
 			m := New(start, Config{Self: instance.Info{Ref: instance.Ref{ID: "n0"}}, LeaseTime: testLeaseTime, StopTime: testStopTime})
 			q := &route.Queue{Name: "q", Service: "s", SlackFactor: tt.slack}
 			j := m.newJob(start, 1, Job{ID: "j", Queue: q, Steps: []Step{{Tasks: 1, Estimate: 3 * s}}, Deadline: start.Add(tt.deadline)})
+			j.makeTasks(0)
 			task := j.steps[0][0]
 			task.number, task.state = tt.number, placed
 			m.tasks[task.name] = task
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -30,8 +30,10 @@
 			SentMessages: traffic.SentMessages, ReceivedMessages: traffic.ReceivedMessages,
 			SentBytes: traffic.SentBytes, ReceivedBytes: traffic.ReceivedBytes,
 		},
-		Jobs: v.Jobs,
-		Runs: v.Running,
+		Jobs:         v.Jobs,
+		Runs:         v.Running,
+		JobMemory:    r.memory.Used(),
+		MaxJobMemory: r.memory.Limit(),
 		EndpointStates: map[string]int{
 			openState: v.Active - v.Draining - v.Ejected - v.Cold, claimedState: v.Held - v.Active,
 			drainingState: v.Draining, ejectedState: v.Ejected, coldState: v.Cold,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/lovagecrank/lovagecrank/endpoint"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/message"
@@ -39,6 +40,8 @@
 		LeaseTime, StopTime time.Duration
 		// GracePeriod is how long the process may run after the signal to stop.
 		GracePeriod time.Duration
+		// Limits bound the memory that callers' jobs take.
+		Limits footprint.Limits
 	}
 
 	// EndpointClient sends orders to endpoints. Each method blocks until it has
@@ -144,6 +147,8 @@
 		view                 atomic.Pointer[pool.View]
 		stopping             atomic.Bool
 		metrics              *metric.RunnerSet
+		// memory is the memory that bodies and open jobs take.
+		memory *footprint.Budget
 		// listReads are the reads of the endpoints and the instances from the
 		// store, and configurationReads those of the configuration.
 		listReads, configurationReads dependency
@@ -187,9 +192,11 @@
 // New returns a runner that does nothing until Run is called.
 func New(cfg Config, o Options) *Runner {
 	now := time.Now()
+	cfg.Limits = cfg.Limits.WithDefaults()
 	r := &Runner{
 		cfg:         cfg,
 		Options:     o,
+		memory:      footprint.NewBudget(cfg.Limits),
 		ctx:         context.Background(),
 		rescheduled: make(chan struct{}, 1),
 		listChanges: make(chan endpoint.Change, maxQueuedListChanges),
@@ -232,9 +239,16 @@
 
 // Submit submits a job and waits for its answer; a nil error means that the job is
 // complete. It returns answered false if ctx, the caller's context, ended before
-// the answer.
+// the answer. A job that exceeds the limits of memory is refused before anything is made
+// for its tasks.
 func (r *Runner) Submit(ctx context.Context, j pool.Job) (f *fault.Error, answered bool) {
 	start := time.Now()
+	release, f := r.reserveJob(j)
+	if f != nil {
+		r.RecordRefusal(j.Queue.Name, j.ID, f)
+		return f, true
+	}
+	defer release()
 	answer := make(chan *fault.Error, 1)
 	var call uint64
 	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) {
