crash, pool, peer: crashes without a task are set against those with it

Seen by callers: jobs answered as failed, "crashes endpoints: 2 have restarted under it", of which no task had failed; the endpoints had crashed on their own.

Cause: two proved losses, one of them alone, were taken as proof of guilt, whatever else crashed, and whether the endpoint had ever confirmed the start. A suspected task is put where it is alone, which makes the second condition likely.

Ruled out: failed runs that are counted twice (each counts once, for the run and the holder that the home expects); jobs that fit no endpoint (each endpoint of that deployment holds each task).

A task is given up after two proved losses, alone at both, if no endpoint has crashed without it in the last minute, or after three, alone at two, if fewer have. After three proved losses it does not start again otherwise, and its caller hears at the deadline that the outcome is unknown. An endpoint that the list shows as draining accuses nobody, though its holder gave it up before.

Why it works: an innocent task is convicted only if hardly anything else crashes and it was alone under at least two crashes; the number of starts stays bounded by the proved losses alone.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -35,6 +35,9 @@
 	Run struct {
 		// Task is the name of the task, and Queue that of its job's queue.
 		Task, Queue string
+		// Started reports that the endpoint has confirmed the start of the run. Another
+		// one may have never reached it.
+		Started bool
 	}
 
 	// Loss is the loss of one boot of an endpoint with the runs that it had.
@@ -66,6 +69,8 @@
 		order []key
 		// unproved are the suspected losses, in the same order.
 		unproved []*Loss
+		// proved is the number of proved losses.
+		proved int
 		// byTask has the losses of each task that are not withdrawn, in the order
 		// in which they were recorded.
 		byTask map[string][]*Loss
@@ -125,8 +130,11 @@
 	added := &loss
 	l.losses[k] = added
 	l.order = append(l.order, k)
-	if loss.State == Suspected {
+	switch loss.State {
+	case Suspected:
 		l.unproved = append(l.unproved, added)
+	case Proved:
+		l.proved++
 	}
 	l.addRuns(added, runs)
 	l.blameTasks(added)
@@ -155,7 +163,13 @@
 
 func (l *Ledger) addRuns(loss *Loss, runs []Run) (changed bool) {
 	for _, r := range runs {
-		if len(loss.Runs) >= MaxRuns || slices.ContainsFunc(loss.Runs, func(o Run) bool { return o.Task == r.Task }) {
+		known := slices.IndexFunc(loss.Runs, func(o Run) bool { return o.Task == r.Task })
+		if known >= 0 && r.Started && !loss.Runs[known].Started {
+			loss.Runs = slices.Clone(loss.Runs) // the list may be in use
+			loss.Runs[known].Started = true
+			changed = true
+		}
+		if known >= 0 || len(loss.Runs) >= MaxRuns {
 			continue
 		}
 		loss.Runs = append(loss.Runs, r)
@@ -168,6 +182,12 @@
 }
 
 func (l *Ledger) setState(loss *Loss, s State) {
+	if loss.State == Proved {
+		l.proved--
+	}
+	if s == Proved {
+		l.proved++
+	}
 	loss.State = s
 	l.removeUnproved(loss)
 	if s == Withdrawn {
@@ -194,6 +214,9 @@
 }
 
 func (l *Ledger) remove(k key) {
+	if l.losses[k].State == Proved {
+		l.proved--
+	}
 	l.forgetRuns(l.losses[k])
 	l.removeUnproved(l.losses[k])
 	delete(l.losses, k)
@@ -235,6 +258,19 @@
 	return changed
 }
 
+// ObserveLeaving handles the knowledge that a boot of an endpoint was announced to leave,
+// which its holder did not know when it gave the endpoint up. Its end says nothing about
+// its tasks. It returns the loss if that has changed it.
+func (l *Ledger) ObserveLeaving(now time.Time, endpoint string, startedAt time.Time) (changed []Loss) {
+	loss := l.losses[keyOf(endpoint, startedAt)]
+	if loss == nil || loss.State == Withdrawn {
+		return nil
+	}
+	l.setState(loss, Withdrawn)
+	loss.At = now
+	return []Loss{*loss}
+}
+
 // AwaitsProof reports whether there are losses that are neither proved nor withdrawn.
 func (l *Ledger) AwaitsProof() bool { return len(l.unproved) > 0 }
 
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -19,7 +19,7 @@
 func lossOf(endpoint string, at time.Time, tasks ...string) Loss {
 	l := Loss{Endpoint: endpoint, Address: address, StartedAt: boot, At: at}
 	for _, t := range tasks {
-		l.Runs = append(l.Runs, Run{Task: t, Queue: "q"})
+		l.Runs = append(l.Runs, Run{Task: t, Queue: "q", Started: true})
 	}
 	return l
 }
@@ -40,6 +40,8 @@
 		{"another endpoint is listed at its address", func(l *Ledger) []Loss { return l.ObserveBoot("f", address, now) }, Proved},
 		{"another endpoint is listed elsewhere", func(l *Ledger) []Loss { return l.ObserveBoot("f", other, now) }, Suspected},
 		{"an earlier boot is listed", func(l *Ledger) []Loss { return l.ObserveBoot("e", address, boot.Add(-time.Hour)) }, Suspected},
+		{"it was announced to leave", func(l *Ledger) []Loss { return l.ObserveLeaving(now.Add(time.Second), "e", boot) }, Withdrawn},
+		{"its later boot is announced to leave", func(l *Ledger) []Loss { return l.ObserveLeaving(now.Add(time.Second), "e", now) }, Suspected},
 		{"a boot at an unknown time is listed", func(l *Ledger) []Loss { return l.ObserveBoot("e", address, time.Time{}) }, Suspected},
 		{"it answers an order that was sent before the loss", func(l *Ledger) []Loss {
 			return l.ObserveAnswer(now.Add(time.Second), now.Add(-time.Second), "e", address, boot)
@@ -56,6 +58,7 @@
 			changed := tt.observe(l)
 			is.Equal(l.Losses()[0].State, tt.want)
 			is.Equal(len(changed) == 1, tt.want != Suspected)
+			is.Equal(l.History("c").Others, map[State]int{Proved: 1}[tt.want])
 			is.Equal(len(l.byTask), map[State]int{Suspected: 2, Proved: 2, Withdrawn: 0}[tt.want])
 		})
 	}
@@ -90,11 +93,14 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 2 * maxLosses {
-		l.Record(lossOf("e"+strconv.Itoa(i), now, "t"+strconv.Itoa(i)))
+		loss := lossOf("e"+strconv.Itoa(i), now, "t"+strconv.Itoa(i))
+		loss.State = State(i % 2)
+		l.Record(loss)
 	}
+	is.Equal(l.proved, maxLosses/2)
 	is.Equal(len(l.Losses()), maxLosses)
 	is.Equal(len(l.byTask), maxLosses)
 	l.Expire(now.Add(lossTTL + time.Second))
-	is.Equal(len(l.Losses())+len(l.byTask), 0)
+	is.Equal(len(l.Losses())+len(l.byTask)+l.proved, 0)
 	is.True(!l.AwaitsProof())
 }
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"time"
 )
 
@@ -15,10 +16,12 @@
 	blameTTL       = 10 * time.Second
 	minBlamed      = 2
 	minBlamedShare = 0.75
-	// The proved losses after which a task is given up: fewer if it ran alone at one
-	// of them, since an endpoint runs several tasks and only one of them is to blame.
-	maxProvedAlone  = 2
-	maxProvedShared = 3
+	// maxProved is the number of proved losses of a task after which it is not started
+	// again.
+	maxProved = 3
+	// minProvedAlone is the number of proved losses at which a task had its endpoint for
+	// itself, below which it is not given up.
+	minProvedAlone = 2
 	// maxUnproved is the number of losses of a task after which it is not started again
 	// before their proof, however long that takes.
 	maxUnproved = 4
@@ -34,8 +37,8 @@
 	// Alone means that the task must have an endpoint for itself, so that its outcome
 	// clears or convicts it.
 	Alone
-	// Wait means that the task must not start until the losses are proved or
-	// withdrawn.
+	// Wait means that the task must not start until the losses are proved, withdrawn or
+	// forgotten.
 	Wait
 	// GiveUp means that it is proved that the task crashes endpoints.
 	GiveUp
@@ -55,9 +58,11 @@
 	// History is what is known of the endpoints that were lost with a task.
 	History struct {
 		// Losses counts the losses that are not withdrawn, and Proved those of them
-		// that are proved. Alone counts the proved ones at which the task was the only
-		// one.
-		Losses, Proved, Alone int
+		// that are proved. Started counts the proved ones at which the task had
+		// certainly started, and Alone those of them at which it was the only one.
+		Losses, Proved, Started, Alone int
+		// Others counts the proved losses of endpoints that had no run of the task.
+		Others int
 		// Last is the endpoint that was lost last, and LastAt when.
 		Last   string
 		LastAt time.Time
@@ -79,30 +84,49 @@
 		h.Losses++
 		if loss.State == Proved {
 			h.Proved++
-			if len(loss.Runs) == 1 {
-				h.Alone++
+			if loss.hasStarted(task) {
+				h.Started++
+				if len(loss.Runs) == 1 {
+					h.Alone++
+				}
 			}
 		}
 		if !loss.At.Before(h.LastAt) {
 			h.Last, h.LastAt = loss.Endpoint, loss.At
 		}
 	}
+	h.Others = l.proved - h.Proved
 	return h
 }
 
+// hasStarted reports whether a run of the task had certainly started on the endpoint.
+func (l *Loss) hasStarted(task string) bool {
+	return slices.ContainsFunc(l.Runs, func(r Run) bool { return r.Task == task && r.Started })
+}
+
+// guilty reports whether it is proved that the task crashes endpoints. Endpoints also
+// crash on their own, and then without the task as well: two crashes are enough if there
+// was no other one, and three if there were fewer others.
+func (h History) guilty() bool {
+	if h.Alone < minProvedAlone {
+		return false
+	}
+	return h.Others == 0 || h.Started >= maxProved && h.Others < h.Started
+}
+
 // Verdict returns how a task of a queue may start again, and until when that holds if
 // it is Wait.
 func (l *Ledger) Verdict(now time.Time, task, queue string) (v Verdict, until time.Time) {
 	h := l.History(task)
 	provedBy := h.LastAt.Add(proofWait)
-	if h.Losses >= maxUnproved {
+	if h.Losses >= maxUnproved || h.Proved >= maxProved {
 		provedBy = h.LastAt.Add(lossTTL)
 	}
-	waits := h.Proved < h.Losses && now.Before(provedBy)
+	waits := (h.Proved < h.Losses || h.Proved >= maxProved) && now.Before(provedBy)
 	switch {
 	case h.Losses == 0:
 		return Free, time.Time{}
-	case h.Proved >= maxProvedShared || h.Proved >= maxProvedAlone && h.Alone > 0:
+	case h.guilty():
 		return GiveUp, time.Time{}
 	case h.Losses == 1 && !l.crashing(now, queue):
 		return Apart, time.Time{}
--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -230,3 +231,76 @@
 	is.Equal(c.answers[0].Kind, fault.DeadlineExceeded)
 	is.True(strings.Contains(c.answers[0].Error(), "which it may have crashed"))
 }
+
+// TestEndpointsCrashOnTheirOwn guards against jobs that are answered as failed because
+// endpoints crashed under their tasks for other reasons: none is, whether a tenth of the
+// endpoints crash together or one after the other.
+func TestEndpointsCrashOnTheirOwn(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// crashed endpoints crash together, each interval.
+		crashed  int
+		interval time.Duration
+		same     bool // they come back under the same ID
+	}{
+		{"many together", 7, 2 * time.Second, false},
+		{"many together, under the same ID", 7, 2 * time.Second, true},
+		{"one after the other", 1, 250 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		for seed := uint64(1); seed <= 4; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", tt.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				sim := startSimulation(t, seed, 4, 48)
+				for i := range 400 {
+					sim.after(time.Duration(50*i)*time.Millisecond, func() {
+						sim.submit(sim.rng.IntN(4), &longQueue, 12*time.Second, step(4, 900*time.Millisecond))
+					})
+				}
+				for at := 2 * time.Second; at < 20*time.Second; at += tt.interval {
+					sim.after(at, func() { sim.crashEndpoints(tt.crashed, tt.same) })
+				}
+				sim.advance(36 * time.Second)
+				answered := 0
+				for _, c := range sim.observer.jobs {
+					for _, f := range c.answers {
+						answered++
+						is.True(f == nil || f.Kind != fault.TaskFailed)
+					}
+				}
+				t.Logf("%d answers, %d endpoints lost with runs", answered, len(sim.logged(event.EndpointCrashProved, "")))
+				is.True(answered >= 400)
+			})
+		}
+	}
+}
+
+// TestLeavingEndpointAccusesNobody guards against the blame of tasks whose endpoint has
+// left, as the list shows after its holder has given it up, when another endpoint has taken
+// its address.
+func TestLeavingEndpointAccusesNobody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := startSimulation(t, 1, 4, 12)
+	sim.submit(0, &longQueue, 20*time.Second, step(1, 5*time.Second))
+	sim.advance(200 * time.Millisecond)
+	for _, e := range slices.Clone(sim.endpoints) {
+		if len(e.runs) > 0 {
+			e.down()
+			sim.advance(1500 * time.Millisecond)
+			leaving := e.listed()
+			leaving.Draining = true
+			list := append(sim.listedEndpoints(), leaving)
+			for _, n := range sim.instances {
+				sim.input(n, func(m *Machine, out *Output) { m.SetEndpoints(sim.now, list, out) })
+			}
+			sim.advance(100 * time.Millisecond)
+			e.returnAsAnother()
+		}
+	}
+	sim.advance(time.Second)
+	is.True(len(sim.logged(event.EndpointLost, "")) > 0)
+	is.Equal(len(sim.logged(event.EndpointLossWithdrawn, "")), len(sim.logged(event.EndpointLost, "")))
+	is.Equal(len(sim.logged(event.EndpointCrashProved, "")), 0)
+}
--- a/pool/endpoint_list.go
+++ b/pool/endpoint_list.go
@@ -25,7 +25,7 @@
 			added = append(added, info)
 		}
 	}
-	m.observeListedBoots(infos, out)
+	m.observeListedBoots(now, infos, out)
 	m.logAdded(now, added, out)
 	for _, e := range m.sortedEndpoints {
 		if !listed[e.info.ID] && !e.info.Draining {
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -32,7 +32,7 @@
 	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
 	for _, r := range e.sortedRuns() {
 		if len(loss.Runs) < crash.MaxRuns && !r.sentAt.After(before) && r.mayBeUnderWay(now, m.cfg.StopTime) {
-			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue})
+			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue, Started: !r.startedAt.IsZero()})
 		}
 	}
 	if len(loss.Runs) == 0 || !m.losses.Record(loss) {
@@ -51,8 +51,14 @@
 	return r.stopAcceptedAt.IsZero() || now.Sub(r.stopAcceptedAt) <= stopTime
 }
 
-// observeListedBoots looks for the proofs of losses in a new list.
-func (m *Machine) observeListedBoots(infos []endpoint.Info, out *Output) {
+// observeListedBoots looks in a new list for the proofs of losses, and for endpoints that
+// were announced to leave before they were lost.
+func (m *Machine) observeListedBoots(now time.Time, infos []endpoint.Info, out *Output) {
+	for _, i := range infos {
+		if i.Draining {
+			m.observeLeaving(now, i, out)
+		}
+	}
 	if !m.losses.AwaitsProof() {
 		return
 	}
@@ -61,6 +67,14 @@
 	}
 }
 
+// observeLeaving records that an endpoint was announced to leave. The peers hear of it,
+// since the entry may be gone before they read the list.
+func (m *Machine) observeLeaving(now time.Time, i endpoint.Info, out *Output) {
+	changed := m.losses.ObserveLeaving(now, i.ID, i.StartedAt)
+	m.applyLossChanges(changed, out)
+	m.sendLosses(now, m.sortedPeers, changed, out)
+}
+
 // proveByList looks for the proof of a new loss in the platform's list, which may
 // have it already.
 func (m *Machine) proveByList(loss crash.Loss, out *Output) {
--- a/pool/simulation_crashes_test.go
+++ b/pool/simulation_crashes_test.go
@@ -28,16 +28,22 @@
 			return
 		}
 		sim.observer.crashes[name]++
-		if sim.crashedReturnSame {
-			e.crash(crashDowntime)
-			sim.after(crashDowntime+randomTime(sim.rng, listDelay), sim.listEndpoints)
-			return
-		}
-		e.down()
-		sim.after(crashDowntime, func() { e.returnAsAnother() })
+		e.crashAndReturn(sim.crashedReturnSame)
 	})
 }
 
+// crashAndReturn crashes the endpoint, which comes back under its ID or another one.
+func (e *fakeEndpoint) crashAndReturn(same bool) {
+	sim := e.sim
+	if same {
+		e.crash(crashDowntime)
+		sim.after(crashDowntime+randomTime(sim.rng, listDelay), sim.listEndpoints)
+		return
+	}
+	e.down()
+	sim.after(crashDowntime, func() { e.returnAsAnother() })
+}
+
 // returnAsAnother boots the crashed endpoint under another ID at the same address.
 func (e *fakeEndpoint) returnAsAnother() {
 	sim := e.sim
@@ -69,3 +75,12 @@
 	sim.sendJob(c, at)
 	return c
 }
+
+// crashEndpoints crashes a number of endpoints that are up, which no task causes.
+func (sim *simulation) crashEndpoints(count int, same bool) {
+	for range count {
+		if e := sim.randomEndpoint(); e.up {
+			e.crashAndReturn(same)
+		}
+	}
+}
