endpoint, instance, platform, peer: one odd entry hides no other and ends no stream

Seen by callers: nothing on our deployments. Other operators reported that one odd entry among those of the workers made machines end again and again, or stop following the list.

Cause: each decoder had its own ranges. decodeWorker took `slots` of 1e300 as sound; the reader of the list passed it on as -1 slots, and a receiver refused the whole message and ended the stream, for the 2.5 s in which a change is repeated.

A list in a message loses the entries that are not valid, not the others.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,9 +1,21 @@
 package instance
 
-import "net/netip"
+import (
+	"errors"
+	"fmt"
+	"net/netip"
 
-// usualCores is the size assumed for an instance that does not report one.
-const usualCores = 1
+	"github.com/lovagecrank/lovagecrank/internal/address"
+)
+
+const (
+	// usualCores is the size assumed for an instance that does not report one.
+	usualCores = 1
+	// MaxCores is far more than any instance has.
+	MaxCores = 1 << 16
+	// maxNameBytes is the maximum length of an ID or another name.
+	maxNameBytes = 256
+)
 
 type (
 	// Ref identifies one incarnation of an entry instance. A restarted instance
@@ -28,6 +40,22 @@
 	}
 )
 
+// Check returns an error if no instance can be as described.
+func (i Info) Check() error {
+	for _, n := range []string{i.ID, i.DataCentre, i.Rack} {
+		if len(n) > maxNameBytes {
+			return fmt.Errorf("a name has %d bytes, more than %d", len(n), maxNameBytes)
+		}
+	}
+	switch {
+	case i.ID == "" || i.DataCentre == "":
+		return errors.New("it has no ID or no data centre")
+	case !(i.Cores >= 0 && i.Cores <= MaxCores):
+		return errors.New("its cores are out of range")
+	}
+	return address.Check(i.Address)
+}
+
 // Size returns the instance's processor capacity, in cores.
 func (i Info) Size() float64 {
 	if i.Cores <= 0 {
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -21,8 +21,6 @@
 	maxNameBytes = 256
 	maxRanks     = 1 << 10
 	maxDuration  = 24 * time.Hour
-	// maxCores is far more than any machine has.
-	maxCores = 1 << 16
 )
 
 var (
@@ -91,7 +89,7 @@
 	if err := errors.Join(checkRef(i.Ref), checkName(i.Rack)); err != nil {
 		return instance.Info{}, err
 	}
-	if !(i.Cores >= 0 && i.Cores <= maxCores) {
+	if !(i.Cores >= 0 && i.Cores <= instance.MaxCores) {
 		return instance.Info{}, errOutOfRange
 	}
 	if w.GetAddress() == "" {
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -43,10 +43,10 @@
 	case *wire.Message_RoutesRequest:
 		return message.PlatformConfigurationRequest{}, nil
 	case *wire.Message_Lists:
-		return decodeLists(b.Lists)
+		return decodeLists(b.Lists), nil
 	case *wire.Message_ListChange:
-		put, err := decodeListedEndpoints(b.ListChange.GetPut())
-		return message.ListChange{After: b.ListChange.GetAfter(), Cursor: b.ListChange.GetCursor(), Put: put, Removed: b.ListChange.GetGone()}, err
+		put, invalid := decodeListedEndpoints(b.ListChange.GetPut())
+		return message.ListChange{After: b.ListChange.GetAfter(), Cursor: b.ListChange.GetCursor(), Put: put, Removed: append(b.ListChange.GetGone(), invalid...)}, nil
 	case *wire.Message_ListsRequest:
 		return message.ListsRequest{}, nil
 	case *wire.Message_DataCentreViews:
@@ -241,30 +241,30 @@
 	return nil
 }
 
-func decodeLists(w *wire.Lists) (message.Body, error) {
+// decodeLists leaves out the entries that are not valid: they come from outside, and must
+// not end the stream.
+func decodeLists(w *wire.Lists) message.Body {
 	b := message.Lists{}
 	for _, item := range w.GetInstances() {
-		i, err := decodeInstance(item)
-		if err != nil {
-			return nil, err
+		if i, err := decodeInstance(item); err == nil {
+			b.Instances = append(b.Instances, i)
 		}
-		b.Instances = append(b.Instances, i)
 	}
-	endpoints, err := decodeListedEndpoints(w.GetEndpoints())
-	b.Endpoints = endpoints
-	return b, err
+	b.Endpoints, _ = decodeListedEndpoints(w.GetEndpoints())
+	return b
 }
 
-func decodeListedEndpoints(list []*wire.ListedEndpoint) ([]message.ListedEndpoint, error) {
-	var endpoints []message.ListedEndpoint
+// decodeListedEndpoints returns the entries that are valid and the IDs of the others.
+func decodeListedEndpoints(list []*wire.ListedEndpoint) (endpoints []message.ListedEndpoint, invalid []string) {
 	for _, item := range list {
 		e, err := decodeListedEndpoint(item)
 		if err != nil {
-			return nil, err
+			invalid = append(invalid, item.GetId())
+			continue
 		}
 		endpoints = append(endpoints, e)
 	}
-	return endpoints, nil
+	return endpoints, invalid
 }
 
 func decodeListedEndpoint(w *wire.ListedEndpoint) (message.ListedEndpoint, error) {
