--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -248,7 +248,7 @@
 }
 
 // TestFormerRelease checks messages of a release that does not divide its tasks
-// among its peers and knows no evacuations.
+// among its peers, knows no evacuations and does not say which lost runs had started.
 func TestFormerRelease(t *testing.T) {
 	is := is.New(t)
 	largest := &wire.Needs{Cores: 8}
@@ -262,6 +262,11 @@
 	body, err = decodeBody(&wire.Message{Body: &wire.Message_Standing{Standing: &wire.Standing{}}})
 	is.NoErr(err)
 	is.Equal(body.(message.Status).Evacuations.Version, uint64(0))
+	body, err = decodeBody(&wire.Message{Body: &wire.Message_EndpointLosses{EndpointLosses: &wire.EndpointLosses{
+		Losses: []*wire.EndpointLoss{{Endpoint: "e", Address: "10.0.0.1:80", Runs: []*wire.LostRun{{Task: "t", Queue: "q"}}}},
+	}}})
+	is.NoErr(err)
+	is.True(!body.(message.EndpointLosses).Losses[0].Runs[0].Started)
 }
 
 // TestInvalidNumbers checks that a message with a number that no decision may use
