--- a/endpoint/check.go
+++ b/endpoint/check.go
@@ -17,7 +17,8 @@
 	maxCores        = 1 << 16
 	maxAccelerators = 1 << 16
 	maxMemory       = 1 << 50
-	// maxNameBytes is the maximum length of an ID, a label or another name.
+	// maxNameBytes is the maximum length of an ID, a label or another name; messages
+	// between instances have the same limit.
 	maxNameBytes = 256
 	maxLabels    = 64
 )
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,7 +13,8 @@
 	usualCores = 1
 	// MaxCores is far more than any instance has.
 	MaxCores = 1 << 16
-	// maxNameBytes is the maximum length of an ID or another name.
+	// maxNameBytes is the maximum length of an ID or another name; messages between
+	// instances have the same limit.
 	maxNameBytes = 256
 )
 
