pool: an oracle for answers of failed, and two ways to give up a sound task

The observer of the simulation now checks each answer of failed by what endpoints have listed: one task with as many failed ends as its queue has attempts, over all submissions and homes, or two endpoints that crashed during runs of the task.

No logic is changed here.

--- a/pool/observer_test.go
+++ b/pool/observer_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,10 @@
 	startsByDataCentre map[string]int
 	starts             int
 	ends               map[run.Status]int
+	// failedEnds counts the ends of each task's runs that endpoints have listed as
+	// failed, and crashesDuring the endpoints that have crashed while a run of the task
+	// was under way there.
+	failedEnds, crashesDuring map[string]int
 	// crashes counts the endpoints that each task has crashed, and startsAfter its
 	// starts after maxCrashes of them.
 	crashes, startsAfter map[string]int
@@ -44,6 +49,8 @@
 		startsByDataCentre: map[string]int{},
 		ends:               map[run.Status]int{},
 		interrupted:        map[string]int{},
+		failedEnds:         map[string]int{},
+		crashesDuring:      map[string]int{},
 		crashes:            map[string]int{},
 		startsAfter:        map[string]int{},
 	}
@@ -98,11 +105,36 @@
 	if status == run.Stopped || status == run.Expired {
 		o.interrupted[e.info.ID]++
 	}
-	if status == run.Done {
+	switch status {
+	case run.Done:
 		o.done[ref.Task] = true
+	case run.Failed:
+		o.failedEnds[ref.Task]++
 	}
 }
 
+// minCrashesOfFailed is the number of endpoints that must have crashed during the runs of
+// a task before its job may be answered as failed, by the platform's specification.
+const minCrashesOfFailed = 2
+
+// checkFailed checks that a job that is answered as failed has a task that has failed as
+// often as its queue allows, or during whose runs endpoints have crashed.
+func (o *observer) checkFailed(c *callerJob, f *fault.Error) {
+	var seen []string
+	for i, s := range c.job.Steps {
+		for k := range s.Tasks {
+			name := taskName(c.job.ID, i, k)
+			if o.failedEnds[name] >= max(c.job.Queue.Attempts, 1) || o.crashesDuring[name] >= minCrashesOfFailed {
+				return
+			}
+			if n, m := o.failedEnds[name], o.crashesDuring[name]; n+m > 0 {
+				seen = append(seen, fmt.Sprintf("%s: %d failed ends, %d crashes", name, n, m))
+			}
+		}
+	}
+	o.sim.t.Errorf("%s: job %s of queue %s with %d attempts is answered as failed without cause: %v; seen: %v", o.sim.now.Format("05.000"), c.job.ID, c.job.Queue.Name, c.job.Queue.Attempts, f, seen)
+}
+
 // count adds the first answer to a job to its tally.
 func (o *observer) count(c *callerJob, f *fault.Error) {
 	if c.tally == nil || len(c.answers) > 1 {
@@ -139,5 +171,7 @@
 		if c.refused == c.attempts && o.startsByJob[c.job.ID] > 0 {
 			o.sim.t.Errorf("job %s is refused as not run after %d starts: %v", c.job.ID, o.startsByJob[c.job.ID], f)
 		}
+	case f.Kind == fault.TaskFailed:
+		o.checkFailed(c, f)
 	}
 }
