crash, pool, peer: a crash counts only if the run was under way when it came

Cause: an endpoint that is cut off ends its runs when their lease ends. If it crashes after that, behind the cut, its next boot proved the loss, and the loss counted as a crash under each task that had a confirmed start there.

Ruled out: an end counted twice (no end is listed at all), a start that had not arrived (the starts are confirmed).

Change: a holder notes when an endpoint first refuses a connection, and until when it has renewed its lease. Verdicts count these only.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -36,8 +36,9 @@
 		// Task is the name of the task, and Queue that of its job's queue.
 		Task, Queue string
 		// Started reports that the endpoint has confirmed the start of the run. Another
-		// one may have never reached it.
-		Started bool
+		// one may have never reached it. UnderWay reports that the run can't have ended
+		// before the endpoint crashed, if it has.
+		Started, UnderWay bool
 	}
 
 	// Loss is the loss of one boot of an endpoint with the runs that it had.
@@ -164,12 +165,11 @@
 func (l *Ledger) addRuns(loss *Loss, runs []Run) (changed bool) {
 	for _, r := range runs {
 		known := slices.IndexFunc(loss.Runs, func(o Run) bool { return o.Task == r.Task })
-		if known >= 0 && r.Started && !loss.Runs[known].Started {
-			loss.Runs = slices.Clone(loss.Runs) // the list may be in use
-			loss.Runs[known].Started = true
-			changed = true
+		if known >= 0 {
+			changed = loss.mergeRun(known, r) || changed
+			continue
 		}
-		if known >= 0 || len(loss.Runs) >= MaxRuns {
+		if len(loss.Runs) >= MaxRuns {
 			continue
 		}
 		loss.Runs = append(loss.Runs, r)
@@ -181,6 +181,19 @@
 	return changed
 }
 
+// mergeRun adds what another report says of a run of the loss.
+func (l *Loss) mergeRun(index int, r Run) (changed bool) {
+	merged := l.Runs[index]
+	merged.Started = merged.Started || r.Started
+	merged.UnderWay = merged.UnderWay || r.UnderWay
+	if merged == l.Runs[index] {
+		return false
+	}
+	l.Runs = slices.Clone(l.Runs) // the list may be in use
+	l.Runs[index] = merged
+	return true
+}
+
 func (l *Ledger) setState(loss *Loss, s State) {
 	if loss.State == Proved {
 		l.proved--
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -58,9 +58,10 @@
 	// History is what is known of the endpoints that were lost with a task.
 	History struct {
 		// Losses counts the losses that are not withdrawn, and Proved those of them
-		// that are proved. Started counts the proved ones at which the task had
-		// certainly started, and Alone those of them at which it was the only one.
-		Losses, Proved, Started, Alone int
+		// that are proved. UnderWay counts the proved ones during which a run of the
+		// task was certainly under way, and Alone those of them at which it was the only
+		// one.
+		Losses, Proved, UnderWay, Alone int
 		// Others counts the proved losses of endpoints that had no run of the task.
 		Others int
 		// Last is the endpoint that was lost last, and LastAt when.
@@ -84,8 +85,8 @@
 		h.Losses++
 		if loss.State == Proved {
 			h.Proved++
-			if loss.hasStarted(task) {
-				h.Started++
+			if loss.during(task) {
+				h.UnderWay++
 				if len(loss.Runs) == 1 {
 					h.Alone++
 				}
@@ -99,9 +100,10 @@
 	return h
 }
 
-// hasStarted reports whether a run of the task had certainly started on the endpoint.
-func (l *Loss) hasStarted(task string) bool {
-	return slices.ContainsFunc(l.Runs, func(r Run) bool { return r.Task == task && r.Started })
+// during reports whether a run of the task was certainly under way when the endpoint was
+// lost.
+func (l *Loss) during(task string) bool {
+	return slices.ContainsFunc(l.Runs, func(r Run) bool { return r.Task == task && r.UnderWay })
 }
 
 // guilty reports whether it is proved that the task crashes endpoints. Endpoints also
@@ -111,7 +113,7 @@
 	if h.Alone < minProvedAlone {
 		return false
 	}
-	return h.Others == 0 || h.Started >= maxProved && h.Others < h.Started
+	return h.Others == 0 || h.UnderWay >= maxProved && h.Others < h.UnderWay
 }
 
 // Verdict returns how a task of a queue may start again, and until when that holds if
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -23,16 +23,23 @@
 }
 
 // recordLoss records that a held endpoint, which was not announced to leave, is lost
-// with the runs that it may have had: those that were sent before the given time. It
-// sends that to the peers before they hear of the ends of these runs.
-func (m *Machine) recordLoss(now time.Time, e *endpointState, before time.Time, out *Output) {
+// with the runs that it may have had: those that were sent before the given time.
+// refusedAt is when it first refused a connection; zero if it has not. The peers hear of
+// the loss before they hear of the ends of these runs.
+func (m *Machine) recordLoss(now time.Time, e *endpointState, before, refusedAt time.Time, out *Output) {
 	if e.lifetime.announced() || m.recentlyResumed(now) { // the silence was its own
 		return
 	}
+	goneBy := before
+	if !refusedAt.IsZero() {
+		goneBy = earlier(goneBy, refusedAt)
+	}
 	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
 	for _, r := range e.sortedRuns() {
 		if len(loss.Runs) < crash.MaxRuns && !r.sentAt.After(before) && r.mayBeUnderWay(now, m.cfg.StopTime) {
-			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue, Started: !r.startedAt.IsZero()})
+			loss.Runs = append(loss.Runs, crash.Run{
+				Task: r.ref.Task, Queue: r.jobQueue, Started: !r.startedAt.IsZero(), UnderWay: m.wasUnderWay(e, r, goneBy),
+			})
 		}
 	}
 	if len(loss.Runs) == 0 || !m.losses.Record(loss) {
@@ -45,6 +52,20 @@
 	m.proveByList(loss, out)
 }
 
+// wasUnderWay reports whether the run was certainly under way when its endpoint crashed,
+// which was at the given time or before: neither the lease nor a stop can have ended it
+// before that.
+func (m *Machine) wasUnderWay(e *endpointState, r *heldRun, goneBy time.Time) bool {
+	if r.startedAt.IsZero() || r.startedAt.After(goneBy) {
+		return false
+	}
+	if !r.stopRequestedAt.IsZero() && r.stopRequestedAt.Before(goneBy) {
+		return false
+	}
+	startLease := time.Duration(startLeaseShare * float64(m.cfg.LeaseTime))
+	return goneBy.Before(later(e.leasedUntil, r.sentAt.Add(startLease)))
+}
+
 // mayBeUnderWay reports whether the run may have been under way when its endpoint was
 // lost: its start was sent, and no stop has ended it since.
 func (r *heldRun) mayBeUnderWay(now time.Time, stopTime time.Duration) bool {
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -64,7 +64,7 @@
 	h := m.losses.History(t.name)
 	if v != t.verdict {
 		t.verdict = v
-		out.log(event.TaskSuspected, t.name, fmt.Sprintf("%s: lost with %d endpoints, the last one %s; %d of them have restarted, at %d of which it had started and at %d it ran alone; %d have restarted that did not run it", v, h.Losses, h.Last, h.Proved, h.Started, h.Alone, h.Others))
+		out.log(event.TaskSuspected, t.name, fmt.Sprintf("%s: lost with %d endpoints, the last one %s; %d of them have restarted, during its run certainly %d, and %d while it ran alone; %d have restarted that did not run it", v, h.Losses, h.Last, h.Proved, h.UnderWay, h.Alone, h.Others))
 	}
 	switch v {
 	case crash.Free, crash.Apart:
@@ -77,7 +77,7 @@
 	case crash.Wait:
 		out.wakeAt(until)
 	case crash.GiveUp:
-		m.endJob(now, t.job, fault.New(fault.TaskFailed, "task %s crashes endpoints: %d have restarted under it and %d without it, the last one is %s", t.name, h.Started, h.Others, h.Last), out)
+		m.endJob(now, t.job, fault.New(fault.TaskFailed, "task %s crashes endpoints: %d have restarted under it and %d without it, the last one is %s", t.name, h.UnderWay, h.Others, h.Last), out)
 	}
 }
 
