crash, pool: a task is given up only where the crashes without it are known

Cause: the account of crashes has only losses with runs that this instance has heard of. Idle endpoints that crash leave none. An instance that is cut off, or that has just started, does not hear of those of others.

Ruled out: crashes after the lease.

Change: the ledger compares each list with the last one. An endpoint that has started again, or was replaced at its address, without notice and without a known loss, is a crash without a task; one crash never counts twice. New peers hear of the latest 64. A verdict needs a complete account: the losses that half of the neighbours know.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -77,12 +77,14 @@
 		byTask map[string][]*Loss
 		// blamed are the tasks that were lost with several endpoints, by name.
 		blamed map[string]blame
+		// restarts are the crashes of endpoints of which no loss is known.
+		restarts restarts
 	}
 )
 
 // NewLedger returns a ledger without losses.
 func NewLedger() *Ledger {
-	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, blamed: map[string]blame{}}
+	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, blamed: map[string]blame{}, restarts: newRestarts()}
 }
 
 // String returns the state's name in snake case.
@@ -115,6 +117,9 @@
 		l.remove(k)
 		known = nil
 	}
+	if known == nil && loss.State == Proved && len(loss.Runs) == 0 {
+		return l.recordRestart(loss)
+	}
 	if known == nil {
 		l.add(k, loss)
 		return true
@@ -130,6 +135,7 @@
 	loss.Runs = nil
 	added := &loss
 	l.losses[k] = added
+	l.restarts.forget(k)
 	l.order = append(l.order, k)
 	switch loss.State {
 	case Suspected:
@@ -294,6 +300,7 @@
 			l.remove(k)
 		}
 	}
+	l.restarts.expire(now)
 	maps.DeleteFunc(l.blamed, func(_ string, b blame) bool { return now.Sub(b.at) > blameTTL })
 }
 
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -62,7 +62,7 @@
 		// task was certainly under way, and Alone those of them at which it was the only
 		// one.
 		Losses, Proved, UnderWay, Alone int
-		// Others counts the proved losses of endpoints that had no run of the task.
+		// Others counts the endpoints that have crashed and had no run of the task.
 		Others int
 		// Last is the endpoint that was lost last, and LastAt when.
 		Last   string
@@ -96,7 +96,7 @@
 			h.Last, h.LastAt = loss.Endpoint, loss.At
 		}
 	}
-	h.Others = l.proved - h.Proved
+	h.Others = l.proved - h.Proved + len(l.restarts.crashes)
 	return h
 }
 
@@ -117,8 +117,9 @@
 }
 
 // Verdict returns how a task of a queue may start again, and until when that holds if
-// it is Wait.
-func (l *Ledger) Verdict(now time.Time, task, queue string) (v Verdict, until time.Time) {
+// it is Wait. It gives no task up unless the account is complete: one that lacks the
+// crashes without the task can't show its guilt.
+func (l *Ledger) Verdict(now time.Time, task, queue string, complete bool) (v Verdict, until time.Time) {
 	h := l.History(task)
 	provedBy := h.LastAt.Add(proofWait)
 	if h.Losses >= maxUnproved || h.Proved >= maxProved {
@@ -128,7 +129,7 @@
 	switch {
 	case h.Losses == 0:
 		return Free, time.Time{}
-	case h.guilty():
+	case complete && h.guilty():
 		return GiveUp, time.Time{}
 	case h.Losses == 1 && !l.crashing(now, queue):
 		return Apart, time.Time{}
--- a/crash/verdict_test.go
+++ b/crash/verdict_test.go
@@ -55,39 +55,43 @@
 		without int
 		at      time.Duration
 		want    Verdict
+		// whenIncomplete is the verdict if the account is not complete.
+		whenIncomplete Verdict
 	}{
-		{"no loss", nil, 0, 0, Free},
-		{"a withdrawn loss", []lostWith{lost(0, Withdrawn, nil)}, 0, s, Free},
-		{"one loss", []lostWith{lost(0, Suspected, beside)}, 0, 0, Apart},
-		{"one proved loss", []lostWith{lost(0, Proved, beside)}, 0, 4 * s, Apart},
-		{"two losses without proof", []lostWith{lost(0, Suspected, beside), lost(s, Suspected, nil)}, 0, 2 * s, Wait},
-		{"two losses, one of them proved", []lostWith{lost(0, Proved, beside), lost(s, Suspected, nil)}, 0, 4 * s, Wait},
-		{"two proved losses, once alone", []lostWith{lost(0, Proved, beside), lost(s, Proved, nil)}, 0, 5 * s, Alone},
-		{"two proved losses, each alone", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 0, 5 * s, GiveUp},
-		{"two proved losses, each alone, one crash without it", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 1, 5 * s, Alone},
-		{"two proved losses, each alone, one of a run that may have been over", []lostWith{{0, Proved, nil, true}, lost(s, Proved, nil)}, 0, 5 * s, Alone},
-		{"two proved losses beside others", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside)}, 0, 5 * s, Alone},
-		{"two proved losses, four crashes without it", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 4, 5 * s, Alone},
-		{"three proved losses beside others", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside), lost(2*s, Proved, beside)}, 0, 40 * s, Wait},
-		{"three proved losses, once alone", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside), lost(2*s, Proved, nil)}, 0, 40 * s, Wait},
-		{"three proved losses, twice alone", thrice, 0, 12 * s, GiveUp},
-		{"three proved losses, two crashes without it", thrice, 2, 12 * s, GiveUp},
-		{"three proved losses, as many crashes without it", thrice, 3, 12 * s, Wait},
-		{"three proved losses, twice as many crashes without it", thrice, 6, 12 * s, Wait},
-		{"three proved losses, one of a run that may have been over", []lostWith{{0, Proved, nil, true}, lost(s, Proved, nil), lost(8*s, Proved, nil)}, 1, 12 * s, Wait},
-		{"the proof does not come", []lostWith{lost(0, Suspected, beside), lost(s, Suspected, nil)}, 0, 8 * s, Alone},
-		{"the proof of the third does not come", []lostWith{lost(0, Suspected, nil), lost(s, Suspected, nil), lost(8*s, Suspected, nil)}, 0, 15 * s, Alone},
-		{"four losses without proof", []lostWith{lost(0, Suspected, nil), lost(s, Suspected, nil), lost(8*s, Suspected, nil), lost(16*s, Suspected, nil)}, 0, 40 * s, Wait},
-		{"two silent endpoints of three", []lostWith{lost(0, Withdrawn, nil), lost(s, Withdrawn, nil), lost(2*s, Suspected, beside)}, 0, 3 * s, Apart},
+		{"no loss", nil, 0, 0, Free, Free},
+		{"a withdrawn loss", []lostWith{lost(0, Withdrawn, nil)}, 0, s, Free, Free},
+		{"one loss", []lostWith{lost(0, Suspected, beside)}, 0, 0, Apart, Apart},
+		{"one proved loss", []lostWith{lost(0, Proved, beside)}, 0, 4 * s, Apart, Apart},
+		{"two losses without proof", []lostWith{lost(0, Suspected, beside), lost(s, Suspected, nil)}, 0, 2 * s, Wait, Wait},
+		{"two losses, one of them proved", []lostWith{lost(0, Proved, beside), lost(s, Suspected, nil)}, 0, 4 * s, Wait, Wait},
+		{"two proved losses, once alone", []lostWith{lost(0, Proved, beside), lost(s, Proved, nil)}, 0, 5 * s, Alone, Alone},
+		{"two proved losses, each alone", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 0, 5 * s, GiveUp, Alone},
+		{"two proved losses, each alone, one crash without it", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 1, 5 * s, Alone, Alone},
+		{"two proved losses, each alone, one of a run that may have been over", []lostWith{{0, Proved, nil, true}, lost(s, Proved, nil)}, 0, 5 * s, Alone, Alone},
+		{"two proved losses beside others", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside)}, 0, 5 * s, Alone, Alone},
+		{"two proved losses, four crashes without it", []lostWith{lost(0, Proved, nil), lost(s, Proved, nil)}, 4, 5 * s, Alone, Alone},
+		{"three proved losses beside others", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside), lost(2*s, Proved, beside)}, 0, 40 * s, Wait, Wait},
+		{"three proved losses, once alone", []lostWith{lost(0, Proved, beside), lost(s, Proved, beside), lost(2*s, Proved, nil)}, 0, 40 * s, Wait, Wait},
+		{"three proved losses, twice alone", thrice, 0, 12 * s, GiveUp, Wait},
+		{"three proved losses, two crashes without it", thrice, 2, 12 * s, GiveUp, Wait},
+		{"three proved losses, as many crashes without it", thrice, 3, 12 * s, Wait, Wait},
+		{"three proved losses, twice as many crashes without it", thrice, 6, 12 * s, Wait, Wait},
+		{"three proved losses, one of a run that may have been over", []lostWith{{0, Proved, nil, true}, lost(s, Proved, nil), lost(8*s, Proved, nil)}, 1, 12 * s, Wait, Wait},
+		{"the proof does not come", []lostWith{lost(0, Suspected, beside), lost(s, Suspected, nil)}, 0, 8 * s, Alone, Alone},
+		{"the proof of the third does not come", []lostWith{lost(0, Suspected, nil), lost(s, Suspected, nil), lost(8*s, Suspected, nil)}, 0, 15 * s, Alone, Alone},
+		{"four losses without proof", []lostWith{lost(0, Suspected, nil), lost(s, Suspected, nil), lost(8*s, Suspected, nil), lost(16*s, Suspected, nil)}, 0, 40 * s, Wait, Wait},
+		{"two silent endpoints of three", []lostWith{lost(0, Withdrawn, nil), lost(s, Withdrawn, nil), lost(2*s, Suspected, beside)}, 0, 3 * s, Apart, Apart},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			l := ledgerOf(tt.losses...)
 			l.crashWithout(tt.without)
-			v, until := l.Verdict(now.Add(tt.at), "t", "other queue")
+			v, until := l.Verdict(now.Add(tt.at), "t", "other queue", true)
 			is.Equal(v, tt.want)
 			is.Equal(v == Wait, until.After(now.Add(tt.at)))
+			v, _ = l.Verdict(now.Add(tt.at), "t", "other queue", false)
+			is.Equal(v, tt.whenIncomplete)
 		})
 	}
 }
@@ -142,7 +146,7 @@
 				lose(2*i+2, task, q, Suspected)
 			}
 			lose(100, "v", "q", Suspected)
-			v, _ := l.Verdict(now.Add(time.Second).Add(tt.at), "v", "q")
+			v, _ := l.Verdict(now.Add(time.Second).Add(tt.at), "v", "q", true)
 			is.Equal(v, tt.want)
 		})
 	}
--- a/pool/failed_answers_test.go
+++ b/pool/failed_answers_test.go
@@ -110,17 +110,23 @@
 		e.crashAndReturn(e.sim.crashedReturnSame)
 		e.sim.crashEndpoints(4, e.sim.crashedReturnSame)
 	}
+	// cutOff cuts the home off from its peers, which have tasks of their own.
+	cutOff := func(sim *simulation, home int) {
+		sim.isolate(home, time.Minute)
+		for i := range 100 {
+			sim.after(time.Duration(300*i)*time.Millisecond, func() {
+				at := (home + 1 + sim.rng.IntN(len(sim.instances)-1)) % len(sim.instances)
+				sim.submit(at, &longQueue, 12*time.Second, step(2, 900*time.Millisecond))
+			})
+		}
+	}
 	tests := []soundTaskCase{
 		{"idle endpoints", nil, crash},
 		{"idle endpoints, for which others return", func(sim *simulation, _ int) { sim.crashedReturnSame = false }, crash},
-		{"endpoints of peers from which the home is cut off", func(sim *simulation, home int) {
-			sim.isolate(home, time.Minute)
-			for i := range 100 {
-				sim.after(time.Duration(300*i)*time.Millisecond, func() {
-					at := (home + 1 + sim.rng.IntN(len(sim.instances)-1)) % len(sim.instances)
-					sim.submit(at, &longQueue, 12*time.Second, step(2, 900*time.Millisecond))
-				})
-			}
+		{"endpoints of peers from which the home is cut off", cutOff, crash},
+		{"the home is cut off from the list too", func(sim *simulation, home int) {
+			sim.instances[home].blind = true
+			cutOff(sim, home)
 		}, crash},
 	}
 	for _, tt := range tests {
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,7 +12,8 @@
 	"github.com/lovagecrank/lovagecrank/message"
 )
 
-// maxIntroducedLosses bounds the losses that a new peer is sent: the latest ones.
+// maxIntroducedLosses bounds the losses with and without runs that a new peer is sent: the
+// latest ones.
 const maxIntroducedLosses = 64
 
 // LossCounts counts the held endpoints that were lost with runs, by what was learnt
@@ -80,12 +82,16 @@
 			m.observeLeaving(now, i, out)
 		}
 	}
-	if !m.losses.AwaitsProof() {
-		return
+	if m.losses.AwaitsProof() {
+		for _, i := range infos {
+			m.applyLossChanges(m.losses.ObserveBoot(i.ID, i.Address, i.StartedAt), out)
+		}
 	}
+	boots := make([]crash.Boot, 0, len(infos))
 	for _, i := range infos {
-		m.applyLossChanges(m.losses.ObserveBoot(i.ID, i.Address, i.StartedAt), out)
+		boots = append(boots, crash.Boot{Endpoint: i.ID, Address: i.Address, StartedAt: i.StartedAt, Draining: i.Draining})
 	}
+	m.losses.ObserveList(now, boots)
 }
 
 // observeLeaving records that an endpoint was announced to leave. The peers hear of it,
@@ -155,8 +161,11 @@
 
 // introduceLosses sends a peer that has just joined the latest losses.
 func (m *Machine) introduceLosses(now time.Time, p *peer, out *Output) {
-	losses := m.losses.Losses()
-	m.sendLosses(now, []*peer{p}, losses[max(len(losses)-maxIntroducedLosses, 0):], out)
+	m.sendLosses(now, []*peer{p}, slices.Concat(latest(m.losses.Losses()), latest(m.losses.Restarts())), out)
+}
+
+func latest(losses []crash.Loss) []crash.Loss {
+	return losses[max(len(losses)-maxIntroducedLosses, 0):]
 }
 
 func (m *Machine) sendLosses(now time.Time, peers []*peer, losses []crash.Loss, out *Output) {
@@ -174,6 +183,18 @@
 	}
 }
 
+// knowsLosses reports whether this instance has heard of the losses that half of its
+// neighbours know. One that is cut off or new does not know which endpoints crash.
+func (m *Machine) knowsLosses() bool {
+	introduced := 0
+	for _, p := range m.sortedPeers {
+		if p.introduced {
+			introduced++
+		}
+	}
+	return m.peersListed && 2*introduced >= len(m.neighbourhood.selected)
+}
+
 // describeLoss describes a loss for a log line.
 func describeLoss(l crash.Loss) string {
 	tasks := make([]string, 0, len(l.Runs))
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -52,6 +52,9 @@
 		// reconnected reports that the peer reconnected in time, so that the
 		// ends of all its runs are still recorded.
 		reconnected bool
+		// introduced reports that a status was received on the present stream, and thus
+		// the losses that the peer knew when it opened.
+		introduced bool
 	}
 )
 
@@ -68,7 +71,7 @@
 		detail += ", again after " + milliseconds(now.Sub(p.lostAt)).String()
 		m.suspectOrphans(now, info.Ref)
 	}
-	p.lostAt = time.Time{}
+	p.lostAt, p.introduced = time.Time{}, false
 	m.peers[info.Ref] = p
 	i, _ := slices.BinarySearchFunc(m.sortedPeers, p, m.compareLocality)
 	m.sortedPeers = slices.Insert(m.sortedPeers, i, p)
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -122,6 +122,8 @@
 		// simulation.inputTime.
 		busyUntil time.Time
 		connected map[int]bool
+		// blind makes the instance read no list of endpoints.
+		blind bool
 		// neighbours are the IDs of the peers that the machine selected.
 		neighbours map[string]bool
 	}
@@ -245,6 +247,9 @@
 // listEndpoints gives all instances the platform's current list.
 func (sim *simulation) listEndpoints() {
 	for _, n := range sim.instances {
+		if n.blind {
+			continue
+		}
 		sim.input(n, func(m *Machine, out *Output) { m.SetEndpoints(sim.now, sim.listedEndpoints(), out) })
 	}
 }
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -60,7 +60,7 @@
 }
 
 func (m *Machine) resolveSuspect(now time.Time, t *homeTask, out *Output) {
-	v, until := m.losses.Verdict(now, t.name, t.job.Queue.Name)
+	v, until := m.losses.Verdict(now, t.name, t.job.Queue.Name, m.knowsLosses())
 	h := m.losses.History(t.name)
 	if v != t.verdict {
 		t.verdict = v
