crash, pool: the outcome is unknown once a task is not started again

Callers saw: a job whose task was lost with three endpoints that crashed, without proof of its guilt, was answered at its deadline only (LC1022), up to a minute after the last thing that was tried for it.

Cause: the verdict was wait, as for a loss whose proof is due.

Change: a verdict of its own, withhold, until the losses are forgotten. The home answers LC1012 at once, unless the caller waits longer than that.

--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -40,6 +40,9 @@
 	// Wait means that the task must not start until the losses are proved, withdrawn or
 	// forgotten.
 	Wait
+	// Withhold means that the task must not start before the losses are forgotten, as it
+	// may well crash endpoints.
+	Withhold
 	// GiveUp means that it is proved that the task crashes endpoints.
 	GiveUp
 )
@@ -72,7 +75,7 @@
 
 // String returns the verdict's name in snake case.
 func (v Verdict) String() string {
-	return [...]string{"free", "apart", "alone", "wait", "give_up"}[v]
+	return [...]string{"free", "apart", "alone", "wait", "withhold", "give_up"}[v]
 }
 
 // Suspected reports whether an endpoint was lost with the task.
@@ -117,15 +120,14 @@
 }
 
 // Verdict returns how a task of a queue may start again, and until when that holds if
-// it is Wait. It gives no task up unless the account is complete: one that lacks the
+// it is Wait or Withhold. It gives no task up unless the account is complete: one that lacks the
 // crashes without the task can't show its guilt.
 func (l *Ledger) Verdict(now time.Time, task, queue string, complete bool) (v Verdict, until time.Time) {
 	h := l.History(task)
-	provedBy := h.LastAt.Add(proofWait)
-	if h.Losses >= maxUnproved || h.Proved >= maxProved {
-		provedBy = h.LastAt.Add(lossTTL)
+	provedBy, forgottenAt := h.LastAt.Add(proofWait), h.LastAt.Add(lossTTL)
+	if h.Losses >= maxUnproved {
+		provedBy = forgottenAt
 	}
-	waits := (h.Proved < h.Losses || h.Proved >= maxProved) && now.Before(provedBy)
 	switch {
 	case h.Losses == 0:
 		return Free, time.Time{}
@@ -133,7 +135,9 @@
 		return GiveUp, time.Time{}
 	case h.Losses == 1 && !l.crashing(now, queue):
 		return Apart, time.Time{}
-	case waits:
+	case h.Proved >= maxProved && now.Before(forgottenAt):
+		return Withhold, forgottenAt
+	case h.Proved < h.Losses && now.Before(provedBy):
 		return Wait, provedBy
 	}
 	return Alone, time.Time{}
--- a/pool/failed_answers_test.go
+++ b/pool/failed_answers_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// TestUnknownOnceNothingIsTried guards against a caller that waits until its deadline for a
+// task that will not start again before it: the outcome is unknown once that is decided.
+func TestUnknownOnceNothingIsTried(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(t, seed, 4, 48)
+			c := sim.submit(int(seed)%4, &longQueue, 40*time.Second, step(1, 900*time.Millisecond))
+			name := taskName(c.job.ID, 0, 0)
+			sim.afterEachStart(name, 300*time.Millisecond, func(e *fakeEndpoint) { e.crashBehindCut(3 * time.Second) })
+			for len(sim.logged(event.EndpointCrashProved, "")) < 3 && sim.now.Before(c.job.Deadline) {
+				sim.advance(10 * time.Millisecond)
+			}
+			starts := sim.observer.starts
+			sim.advance(100 * time.Millisecond)
+			is.Equal(len(c.answers), 1)
+			is.Equal(c.answers[0].Kind, fault.OutcomeUnknown)
+			sim.advance(39 * time.Second) // the caller asks elsewhere
+			is.Equal(sim.observer.starts, starts)
+			for _, f := range c.answers {
+				is.True(f.Kind == fault.OutcomeUnknown || f.Kind == fault.DeadlineTooNear) // the last try is too late
+			}
+		})
+	}
+}
+
 // TestCrashesElsewhereAreCounted guards against a sound job that is answered as failed
 // because its home does not know that endpoints crash without its task too: idle ones, or
 // those of instances from which it is cut off.
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -76,11 +76,23 @@
 		}
 	case crash.Wait:
 		out.wakeAt(until)
+	case crash.Withhold:
+		m.withhold(now, t, h, until, out)
 	case crash.GiveUp:
 		m.endJob(now, t.job, fault.New(fault.TaskFailed, "task %s crashes endpoints: %d have restarted under it and %d without it, the last one is %s", t.name, h.UnderWay, h.Others, h.Last), out)
 	}
 }
 
+// withhold ends the job of a task that does not start again before the given time, unless
+// it can after that.
+func (m *Machine) withhold(now time.Time, t *homeTask, h crash.History, until time.Time, out *Output) {
+	if until.Before(t.job.Deadline) {
+		out.wakeAt(until)
+		return
+	}
+	m.endJob(now, t.job, fault.New(fault.OutcomeUnknown, "task %s was lost with %d endpoints, which it may have crashed, and is not started again", t.name, h.Losses), out)
+}
+
 // suspectOf returns the first of the job's tasks that wait as suspected, or nil.
 func (m *Machine) suspectOf(j *homeJob) *homeTask {
 	if len(m.suspects) == 0 {
