--- a/pool/losses.go
+++ b/pool/losses.go
@@ -197,9 +197,12 @@
 
 // describeLoss describes a loss for a log line.
 func describeLoss(l crash.Loss) string {
-	tasks := make([]string, 0, len(l.Runs))
+	tasks, underWay := make([]string, 0, len(l.Runs)), 0
 	for _, r := range l.Runs {
 		tasks = append(tasks, r.Task)
+		if r.UnderWay {
+			underWay++
+		}
 	}
-	return fmt.Sprintf("%d runs: %s", len(l.Runs), strings.Join(tasks, ","))
+	return fmt.Sprintf("%d runs, %d certainly under way: %s", len(l.Runs), underWay, strings.Join(tasks, ","))
 }
