crash: a restart is counted after an unchanged list and a withdrawn loss

The runner passes a list on only when it has changed, and the ledger forgot the boots of a list after a minute: a crash of an idle endpoint after a quiet minute was not seen, so that a sound task could still be given up for lack of it. A boot whose earlier loss was withdrawn, since it was only silent, did not count either.

The boots of the last list are kept, however old it is. A withdrawn loss no longer hides a restart of the same boot. TestRestartAfterUnchangedList and TestRestartAfterWithdrawnLoss failed before (0 crashes without the task, 1 expected).

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -117,7 +117,7 @@
 		l.remove(k)
 		known = nil
 	}
-	if known == nil && loss.State == Proved && len(loss.Runs) == 0 {
+	if loss.State == Proved && len(loss.Runs) == 0 && (known == nil || known.State == Withdrawn) {
 		return l.recordRestart(loss)
 	}
 	if known == nil {
--- a/crash/restarts.go
+++ b/crash/restarts.go
@@ -27,9 +27,11 @@
 	// restarts has the crashes that show only in the platform's list: those of
 	// endpoints of which no loss is known, mostly because they ran nothing.
 	restarts struct {
-		// listed has the boots that were listed within lossTTL, by endpoint, and
-		// byAddress the endpoint that was listed last at each address.
+		// listed has the boots of the last list, which was handled at listedAt, and those
+		// that were listed within lossTTL, by endpoint. byAddress has the endpoint that was
+		// listed last at each address.
 		listed    map[string]listedBoot
+		listedAt  time.Time
 		byAddress map[netip.AddrPort]string
 		// crashes are the crashes of the last lossTTL, and order their keys in the
 		// order in which they were recorded.
@@ -46,6 +48,7 @@
 // started again, or was replaced by another one at its address, has crashed unless it was
 // announced to leave.
 func (l *Ledger) ObserveList(now time.Time, boots []Boot) {
+	l.restarts.listedAt = now
 	for _, b := range boots {
 		if b.StartedAt.IsZero() {
 			continue
@@ -68,10 +71,14 @@
 	return p, ok && p.StartedAt.UnixMilli() < b.StartedAt.UnixMilli()
 }
 
-// recordRestart records a crash without known runs, and reports whether it is new.
+// recordRestart records a crash without known runs, and reports whether it is new. A loss
+// of the same boot that was withdrawn was before the crash.
 func (l *Ledger) recordRestart(crash Loss) (changed bool) {
 	k, r := keyOf(crash.Endpoint, crash.StartedAt), &l.restarts
-	if _, ok := r.crashes[k]; ok || l.losses[k] != nil {
+	if _, ok := r.crashes[k]; ok {
+		return false
+	}
+	if loss := l.losses[k]; loss != nil && loss.State != Withdrawn {
 		return false
 	}
 	if len(r.order) >= maxLosses {
@@ -95,7 +102,7 @@
 	for len(r.order) > 0 && now.Sub(r.crashes[r.order[0]].At) > lossTTL {
 		r.forget(r.order[0])
 	}
-	maps.DeleteFunc(r.listed, func(_ string, b listedBoot) bool { return now.Sub(b.at) > lossTTL })
+	maps.DeleteFunc(r.listed, func(_ string, b listedBoot) bool { return !b.at.Equal(r.listedAt) && now.Sub(b.at) > lossTTL })
 	maps.DeleteFunc(r.byAddress, func(_ netip.AddrPort, endpoint string) bool { _, ok := r.listed[endpoint]; return !ok })
 }
 
--- a/crash/restarts_test.go
+++ b/crash/restarts_test.go
@@ -51,7 +51,8 @@
 			}
 			is.Equal(l.History("t").Others, tt.want)
 			is.Equal(len(l.Restarts()), tt.want)
-			l.Expire(now.Add(lossTTL + 2*time.Second))
+			l.ObserveList(now.Add(2*time.Second), nil)
+			l.Expire(now.Add(lossTTL + 3*time.Second))
 			is.Equal(l.History("t").Others, 0)
 			is.Equal(len(l.restarts.listed)+len(l.restarts.byAddress)+len(l.restarts.crashes), 0)
 		})
@@ -90,3 +91,30 @@
 	is.Equal(l.History("t").Others, maxLosses)
 	is.Equal(len(l.Losses()), 0)
 }
+
+// TestRestartAfterUnchangedList guards against a crash of an idle endpoint that is not
+// counted because no list came for a minute: the driver passes a list only if it has changed.
+func TestRestartAfterUnchangedList(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.ObserveList(now, []Boot{{Endpoint: "e", Address: address, StartedAt: boot}})
+	crashedAt := now.Add(lossTTL + time.Second)
+	for at := now; at.Before(crashedAt); at = at.Add(50 * time.Millisecond) {
+		l.Expire(at)
+	}
+	l.ObserveList(crashedAt, []Boot{{Endpoint: "e", Address: address, StartedAt: crashedAt}})
+	is.Equal(l.History("t").Others, 1)
+}
+
+// TestRestartAfterWithdrawnLoss guards against a crash of an idle endpoint that is not
+// counted because an earlier loss of the same boot was withdrawn.
+func TestRestartAfterWithdrawnLoss(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.ObserveList(now, []Boot{{Endpoint: "e", Address: address, StartedAt: boot}})
+	l.Record(lossOf("e", now, "u"))
+	is.Equal(len(l.ObserveAnswer(now.Add(2*time.Second), now.Add(time.Second), "e", address, boot)), 1) // the same boot
+	crashedAt := now.Add(10 * time.Second)
+	l.ObserveList(crashedAt, []Boot{{Endpoint: "e", Address: address, StartedAt: crashedAt}})
+	is.Equal(l.History("t").Others, 1)
+}
