pool: a run of the next boot is not lost with the boot before it

The next start reaches the new boot and is confirmed, and then the reply to a poll shows the restart. The run, which was working, counted as lost with the earlier boot, proved at once: one real crash later the job was answered as failed, with one crash during its runs.

Cause: the boot's start is bounded by its clock, which must be younger than the last answer. The reply to the start is an answer of the new boot, so that the clock seemed not to start from zero, and all runs sent until now counted as those of the earlier boot.

Change: the bound is the last reply to a poll, which names its boot.

--- a/pool/failed_answers_test.go
+++ b/pool/failed_answers_test.go
@@ -162,3 +162,32 @@
 		}
 	}
 }
+
+// TestRunOfNextBootIsNotLost guards against a run that the next boot of an endpoint has
+// started and that counts as lost with the boot before it, which crashed while it was idle:
+// the reply to its start came before the poll reply that shows the restart, so that two
+// crashes count though one came during a run.
+func TestRunOfNextBootIsNotLost(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(t, seed, 1, 1)
+			e := sim.endpoints[0]
+			e.crash(100 * time.Millisecond) // idle, and not noticed
+			sim.advance(600 * time.Millisecond)
+			c := sim.submit(0, &longQueue, 20*time.Second, step(1, 900*time.Millisecond))
+			name := taskName(c.job.ID, 0, 0)
+			sim.advance(400 * time.Millisecond)
+			is.Equal(len(e.runs), 1)
+			t.Logf("while the only run is under way: %+v", sim.instances[0].machine.losses.History(name))
+			e.crash(rebootTime) // during the run, once
+			sim.advance(19 * time.Second)
+			is.Equal(sim.observer.crashesDuring[name], 1)
+			is.True(len(c.answers) > 0)
+			for _, f := range c.answers {
+				is.True(f == nil || f.Kind != fault.TaskFailed)
+			}
+		})
+	}
+}
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -139,11 +139,11 @@
 	if otherBoot {
 		e.bootSince = reply.Sent
 	}
-	lastAnswer, refusedAt := e.clock.received, e.refusedAt
+	refusedAt := e.refusedAt
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
 		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
-		m.recordLoss(now, e, earliestBoot(now, lastAnswer, reply.Clock), refusedAt, out)
+		m.recordLoss(now, e, earliestBoot(now, e.size.answeredAt, reply.Clock), refusedAt, out)
 		m.adoptNewBoot(now, e, out)
 	} else if reply.Renewed {
 		e.leasedUntil = later(e.leasedUntil, reply.Sent.Add(m.cfg.LeaseTime))
@@ -167,10 +167,11 @@
 }
 
 // earliestBoot returns when the boot that answers has started, by its clock, so that
-// orders that were sent later have reached this one. It returns the present time if the
-// clock does not tell, since it does not start from zero.
-func earliestBoot(now, lastAnswer time.Time, clock time.Duration) time.Time {
-	if clock <= 0 || clock > now.Sub(lastAnswer) {
+// orders that were sent later have reached this one. lastPoll is when the earlier boot last
+// answered a poll; the next boot may have answered a start since. It returns the present
+// time if the clock does not tell, since it does not start from zero.
+func earliestBoot(now, lastPoll time.Time, clock time.Duration) time.Time {
+	if clock <= 0 || clock > now.Sub(lastPoll) {
 		return now
 	}
 	return now.Add(-clock)
