crash, pool: a job is failed only by failed ends, and a suspected task is withheld

Cause: a job was answered LC1013 on the evidence of crashes. That can't be a proof. A proved loss shows that an endpoint has crashed, and not when: the run may have been ended by its lease or by itself before, behind a cut that is silent or refuses. And an instance does not hear of all crashes without the task.

Change: what was the verdict give_up, and three proved losses, is withhold: the task does not start again and the outcome is unknown (LC1012), at once. An instance that reaches fewer than half of its neighbours keeps the caller until its deadline, since the others would start the task. failed is left for ends that endpoints have listed.

Tests: the oracle asks for as many failed ends as the queue has attempts, without the exception for crashes. TestTaskThatCrashesEndpoints asked for failed, which the platform's page gives for failed attempts only; it asks now that nobody hears failed, that some answer is unknown, and for three crashes at most, which it did not check. TestVerdict has withhold where it had give_up, and for three proved losses, where a wait of a minute was as long.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -36,9 +36,8 @@
 		// Task is the name of the task, and Queue that of its job's queue.
 		Task, Queue string
 		// Started reports that the endpoint has confirmed the start of the run. Another
-		// one may have never reached it. UnderWay reports that the run can't have ended
-		// before the endpoint crashed, if it has.
-		Started, UnderWay bool
+		// one may have never reached it.
+		Started bool
 	}
 
 	// Loss is the loss of one boot of an endpoint with the runs that it had.
@@ -77,14 +76,12 @@
 		byTask map[string][]*Loss
 		// blamed are the tasks that were lost with several endpoints, by name.
 		blamed map[string]blame
-		// restarts are the crashes of endpoints of which no loss is known.
-		restarts restarts
 	}
 )
 
 // NewLedger returns a ledger without losses.
 func NewLedger() *Ledger {
-	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, blamed: map[string]blame{}, restarts: newRestarts()}
+	return &Ledger{losses: map[key]*Loss{}, byTask: map[string][]*Loss{}, blamed: map[string]blame{}}
 }
 
 // String returns the state's name in snake case.
@@ -117,9 +114,6 @@
 		l.remove(k)
 		known = nil
 	}
-	if loss.State == Proved && len(loss.Runs) == 0 && (known == nil || known.State == Withdrawn) {
-		return l.recordRestart(loss)
-	}
 	if known == nil {
 		l.add(k, loss)
 		return true
@@ -135,7 +129,6 @@
 	loss.Runs = nil
 	added := &loss
 	l.losses[k] = added
-	l.restarts.forget(k)
 	l.order = append(l.order, k)
 	switch loss.State {
 	case Suspected:
@@ -171,11 +164,12 @@
 func (l *Ledger) addRuns(loss *Loss, runs []Run) (changed bool) {
 	for _, r := range runs {
 		known := slices.IndexFunc(loss.Runs, func(o Run) bool { return o.Task == r.Task })
-		if known >= 0 {
-			changed = loss.mergeRun(known, r) || changed
-			continue
+		if known >= 0 && r.Started && !loss.Runs[known].Started {
+			loss.Runs = slices.Clone(loss.Runs) // the list may be in use
+			loss.Runs[known].Started = true
+			changed = true
 		}
-		if len(loss.Runs) >= MaxRuns {
+		if known >= 0 || len(loss.Runs) >= MaxRuns {
 			continue
 		}
 		loss.Runs = append(loss.Runs, r)
@@ -187,19 +181,6 @@
 	return changed
 }
 
-// mergeRun adds what another report says of a run of the loss.
-func (l *Loss) mergeRun(index int, r Run) (changed bool) {
-	merged := l.Runs[index]
-	merged.Started = merged.Started || r.Started
-	merged.UnderWay = merged.UnderWay || r.UnderWay
-	if merged == l.Runs[index] {
-		return false
-	}
-	l.Runs = slices.Clone(l.Runs) // the list may be in use
-	l.Runs[index] = merged
-	return true
-}
-
 func (l *Ledger) setState(loss *Loss, s State) {
 	if loss.State == Proved {
 		l.proved--
@@ -300,7 +281,6 @@
 			l.remove(k)
 		}
 	}
-	l.restarts.expire(now)
 	maps.DeleteFunc(l.blamed, func(_ string, b blame) bool { return now.Sub(b.at) > blameTTL })
 }
 
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -20,7 +20,7 @@
 	// again.
 	maxProved = 3
 	// minProvedAlone is the number of proved losses at which a task had its endpoint for
-	// itself, below which it is not given up.
+	// itself, from which on it is likely to be the cause.
 	minProvedAlone = 2
 	// maxUnproved is the number of losses of a task after which it is not started again
 	// before their proof, however long that takes.
@@ -40,11 +40,10 @@
 	// Wait means that the task must not start until the losses are proved, withdrawn or
 	// forgotten.
 	Wait
-	// Withhold means that the task must not start before the losses are forgotten, as it
-	// may well crash endpoints.
+	// Withhold means that the task must not start before the losses are forgotten, since it
+	// is likely to crash endpoints. That it does is never proved: an endpoint may crash for
+	// another reason, or after the run has ended there.
 	Withhold
-	// GiveUp means that it is proved that the task crashes endpoints.
-	GiveUp
 )
 
 type (
@@ -61,11 +60,10 @@
 	// History is what is known of the endpoints that were lost with a task.
 	History struct {
 		// Losses counts the losses that are not withdrawn, and Proved those of them
-		// that are proved. UnderWay counts the proved ones during which a run of the
-		// task was certainly under way, and Alone those of them at which it was the only
-		// one.
-		Losses, Proved, UnderWay, Alone int
-		// Others counts the endpoints that have crashed and had no run of the task.
+		// that are proved. Started counts the proved ones at which the task had
+		// certainly started, and Alone those of them at which it was the only one.
+		Losses, Proved, Started, Alone int
+		// Others counts the proved losses of endpoints that had no run of the task.
 		Others int
 		// Last is the endpoint that was lost last, and LastAt when.
 		Last   string
@@ -75,7 +73,7 @@
 
 // String returns the verdict's name in snake case.
 func (v Verdict) String() string {
-	return [...]string{"free", "apart", "alone", "wait", "withhold", "give_up"}[v]
+	return [...]string{"free", "apart", "alone", "wait", "withhold"}[v]
 }
 
 // Suspected reports whether an endpoint was lost with the task.
@@ -88,8 +86,8 @@
 		h.Losses++
 		if loss.State == Proved {
 			h.Proved++
-			if loss.during(task) {
-				h.UnderWay++
+			if loss.hasStarted(task) {
+				h.Started++
 				if len(loss.Runs) == 1 {
 					h.Alone++
 				}
@@ -99,30 +97,25 @@
 			h.Last, h.LastAt = loss.Endpoint, loss.At
 		}
 	}
-	h.Others = l.proved - h.Proved + len(l.restarts.crashes)
+	h.Others = l.proved - h.Proved
 	return h
 }
 
-// during reports whether a run of the task was certainly under way when the endpoint was
-// lost.
-func (l *Loss) during(task string) bool {
-	return slices.ContainsFunc(l.Runs, func(r Run) bool { return r.Task == task && r.UnderWay })
+// hasStarted reports whether a run of the task had certainly started on the endpoint.
+func (l *Loss) hasStarted(task string) bool {
+	return slices.ContainsFunc(l.Runs, func(r Run) bool { return r.Task == task && r.Started })
 }
 
-// guilty reports whether it is proved that the task crashes endpoints. Endpoints also
-// crash on their own, and then without the task as well: two crashes are enough if there
-// was no other one, and three if there were fewer others.
-func (h History) guilty() bool {
-	if h.Alone < minProvedAlone {
-		return false
-	}
-	return h.Others == 0 || h.UnderWay >= maxProved && h.Others < h.UnderWay
+// likelyCause reports whether the task is likely to crash endpoints. They also crash on
+// their own, and then without the task as well: two crashes are enough only if no other one
+// is known.
+func (h History) likelyCause() bool {
+	return h.Proved >= maxProved || h.Alone >= minProvedAlone && h.Others == 0
 }
 
 // Verdict returns how a task of a queue may start again, and until when that holds if
-// it is Wait or Withhold. It gives no task up unless the account is complete: one that lacks the
-// crashes without the task can't show its guilt.
-func (l *Ledger) Verdict(now time.Time, task, queue string, complete bool) (v Verdict, until time.Time) {
+// it is Wait or Withhold.
+func (l *Ledger) Verdict(now time.Time, task, queue string) (v Verdict, until time.Time) {
 	h := l.History(task)
 	provedBy, forgottenAt := h.LastAt.Add(proofWait), h.LastAt.Add(lossTTL)
 	if h.Losses >= maxUnproved {
@@ -131,12 +124,10 @@
 	switch {
 	case h.Losses == 0:
 		return Free, time.Time{}
-	case complete && h.guilty():
-		return GiveUp, time.Time{}
+	case h.likelyCause() && now.Before(forgottenAt):
+		return Withhold, forgottenAt
 	case h.Losses == 1 && !l.crashing(now, queue):
 		return Apart, time.Time{}
-	case h.Proved >= maxProved && now.Before(forgottenAt):
-		return Withhold, forgottenAt
 	case h.Proved < h.Losses && now.Before(provedBy):
 		return Wait, provedBy
 	}
--- a/peer/losses.go
+++ b/peer/losses.go
@@ -18,7 +18,7 @@
 			item.BornMs = l.StartedAt.UnixMilli()
 		}
 		for _, r := range l.Runs {
-			item.Runs = append(item.Runs, &wire.LostRun{Task: r.Task, Queue: r.Queue, Started: r.Started, UnderWay: r.UnderWay})
+			item.Runs = append(item.Runs, &wire.LostRun{Task: r.Task, Queue: r.Queue, Started: r.Started})
 		}
 		w.Losses = append(w.Losses, item)
 	}
@@ -54,7 +54,7 @@
 	err = checkName(l.Endpoint)
 	for _, r := range w.GetRuns() {
 		err = errors.Join(err, checkName(r.GetTask()), checkName(r.GetQueue()))
-		l.Runs = append(l.Runs, crash.Run{Task: r.GetTask(), Queue: r.GetQueue(), Started: r.GetStarted(), UnderWay: r.GetUnderWay()})
+		l.Runs = append(l.Runs, crash.Run{Task: r.GetTask(), Queue: r.GetQueue(), Started: r.GetStarted()})
 	}
 	return l, err
 }
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -113,10 +113,6 @@
 		// after the endpoint was idle. It is valid while a run or a poll is
 		// pending.
 		unansweredSince time.Time
-		// refusedAt is when it first refused a connection since its last answer; zero
-		// if it has not. leasedUntil is when the lease that it has last renewed ends at
-		// the earliest.
-		refusedAt, leasedUntil time.Time
 
 		runs map[run.Ref]*heldRun
 		// unknownRuns is the number of runs in the last list of the endpoint that are
@@ -218,7 +214,6 @@
 func (e *endpointState) reset() {
 	e.token, e.active, e.releasing = 0, false, false
 	e.lastEnd, e.ackedEnd, e.maxLeaseEnd = 0, 0, 0
-	e.refusedAt, e.leasedUntil = time.Time{}, time.Time{}
 	e.used, e.reserved = task.Needs{}, 0
 	e.unknownRuns = 0
 	e.pendingStops, e.suspects, e.isolatedFor = 0, 0, ""
--- a/pool/losses.go
+++ b/pool/losses.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -12,8 +11,7 @@
 	"github.com/lovagecrank/lovagecrank/message"
 )
 
-// maxIntroducedLosses bounds the losses with and without runs that a new peer is sent: the
-// latest ones.
+// maxIntroducedLosses bounds the losses that a new peer is sent: the latest ones.
 const maxIntroducedLosses = 64
 
 // LossCounts counts the held endpoints that were lost with runs, by what was learnt
@@ -25,23 +23,16 @@
 }
 
 // recordLoss records that a held endpoint, which was not announced to leave, is lost
-// with the runs that it may have had: those that were sent before the given time.
-// refusedAt is when it first refused a connection; zero if it has not. The peers hear of
-// the loss before they hear of the ends of these runs.
-func (m *Machine) recordLoss(now time.Time, e *endpointState, before, refusedAt time.Time, out *Output) {
+// with the runs that it may have had: those that were sent before the given time. It
+// sends that to the peers before they hear of the ends of these runs.
+func (m *Machine) recordLoss(now time.Time, e *endpointState, before time.Time, out *Output) {
 	if e.lifetime.announced() || m.recentlyResumed(now) { // the silence was its own
 		return
 	}
-	goneBy := before
-	if !refusedAt.IsZero() {
-		goneBy = earlier(goneBy, refusedAt)
-	}
 	loss := crash.Loss{Endpoint: e.info.ID, Address: e.info.Address, StartedAt: e.info.StartedAt, At: now, Own: true}
 	for _, r := range e.sortedRuns() {
 		if len(loss.Runs) < crash.MaxRuns && !r.sentAt.After(before) && r.mayBeUnderWay(now, m.cfg.StopTime) {
-			loss.Runs = append(loss.Runs, crash.Run{
-				Task: r.ref.Task, Queue: r.jobQueue, Started: !r.startedAt.IsZero(), UnderWay: m.wasUnderWay(e, r, goneBy),
-			})
+			loss.Runs = append(loss.Runs, crash.Run{Task: r.ref.Task, Queue: r.jobQueue, Started: !r.startedAt.IsZero()})
 		}
 	}
 	if len(loss.Runs) == 0 || !m.losses.Record(loss) {
@@ -54,20 +45,6 @@
 	m.proveByList(loss, out)
 }
 
-// wasUnderWay reports whether the run was certainly under way when its endpoint crashed,
-// which was at the given time or before: neither the lease nor a stop can have ended it
-// before that.
-func (m *Machine) wasUnderWay(e *endpointState, r *heldRun, goneBy time.Time) bool {
-	if r.startedAt.IsZero() || r.startedAt.After(goneBy) {
-		return false
-	}
-	if !r.stopRequestedAt.IsZero() && r.stopRequestedAt.Before(goneBy) {
-		return false
-	}
-	startLease := time.Duration(startLeaseShare * float64(m.cfg.LeaseTime))
-	return goneBy.Before(later(e.leasedUntil, r.sentAt.Add(startLease)))
-}
-
 // mayBeUnderWay reports whether the run may have been under way when its endpoint was
 // lost: its start was sent, and no stop has ended it since.
 func (r *heldRun) mayBeUnderWay(now time.Time, stopTime time.Duration) bool {
@@ -82,16 +59,12 @@
 			m.observeLeaving(now, i, out)
 		}
 	}
-	if m.losses.AwaitsProof() {
-		for _, i := range infos {
-			m.applyLossChanges(m.losses.ObserveBoot(i.ID, i.Address, i.StartedAt), out)
-		}
+	if !m.losses.AwaitsProof() {
+		return
 	}
-	boots := make([]crash.Boot, 0, len(infos))
 	for _, i := range infos {
-		boots = append(boots, crash.Boot{Endpoint: i.ID, Address: i.Address, StartedAt: i.StartedAt, Draining: i.Draining})
+		m.applyLossChanges(m.losses.ObserveBoot(i.ID, i.Address, i.StartedAt), out)
 	}
-	m.losses.ObserveList(now, boots)
 }
 
 // observeLeaving records that an endpoint was announced to leave. The peers hear of it,
@@ -161,11 +134,8 @@
 
 // introduceLosses sends a peer that has just joined the latest losses.
 func (m *Machine) introduceLosses(now time.Time, p *peer, out *Output) {
-	m.sendLosses(now, []*peer{p}, slices.Concat(latest(m.losses.Losses()), latest(m.losses.Restarts())), out)
-}
-
-func latest(losses []crash.Loss) []crash.Loss {
-	return losses[max(len(losses)-maxIntroducedLosses, 0):]
+	losses := m.losses.Losses()
+	m.sendLosses(now, []*peer{p}, losses[max(len(losses)-maxIntroducedLosses, 0):], out)
 }
 
 func (m *Machine) sendLosses(now time.Time, peers []*peer, losses []crash.Loss, out *Output) {
@@ -183,26 +153,11 @@
 	}
 }
 
-// knowsLosses reports whether this instance has heard of the losses that half of its
-// neighbours know. One that is cut off or new does not know which endpoints crash.
-func (m *Machine) knowsLosses() bool {
-	introduced := 0
-	for _, p := range m.sortedPeers {
-		if p.introduced {
-			introduced++
-		}
-	}
-	return m.peersListed && 2*introduced >= len(m.neighbourhood.selected)
-}
-
 // describeLoss describes a loss for a log line.
 func describeLoss(l crash.Loss) string {
-	tasks, underWay := make([]string, 0, len(l.Runs)), 0
+	tasks := make([]string, 0, len(l.Runs))
 	for _, r := range l.Runs {
 		tasks = append(tasks, r.Task)
-		if r.UnderWay {
-			underWay++
-		}
 	}
-	return fmt.Sprintf("%d runs, %d certainly under way: %s", len(l.Runs), underWay, strings.Join(tasks, ","))
+	return fmt.Sprintf("%d runs: %s", len(l.Runs), strings.Join(tasks, ","))
 }
--- a/pool/output.go
+++ b/pool/output.go
@@ -115,10 +115,9 @@
 	// PollReply is the reply to a Poll.
 	PollReply struct {
 		Reply
-		// LastEnd and Immediate are copied from the poll. Renewed reports that it
-		// renewed the lease.
-		LastEnd            int64
-		Immediate, Renewed bool
+		// LastEnd and Immediate are copied from the poll.
+		LastEnd   int64
+		Immediate bool
 		// StartedAt is when the endpoint started; zero if it was not reported.
 		StartedAt time.Time
 		Running   []Running
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -52,9 +52,6 @@
 		// reconnected reports that the peer reconnected in time, so that the
 		// ends of all its runs are still recorded.
 		reconnected bool
-		// introduced reports that a status was received on the present stream, and thus
-		// the losses that the peer knew when it opened.
-		introduced bool
 	}
 )
 
@@ -71,7 +68,7 @@
 		detail += ", again after " + milliseconds(now.Sub(p.lostAt)).String()
 		m.suspectOrphans(now, info.Ref)
 	}
-	p.lostAt, p.introduced = time.Time{}, false
+	p.lostAt = time.Time{}
 	m.peers[info.Ref] = p
 	i, _ := slices.BinarySearchFunc(m.sortedPeers, p, m.compareLocality)
 	m.sortedPeers = slices.Insert(m.sortedPeers, i, p)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -139,14 +139,11 @@
 	if otherBoot {
 		e.bootSince = reply.Sent
 	}
-	refusedAt := e.refusedAt
 	m.recordAnswer(now, e, reply.Reply)
 	if otherBoot {
 		out.log(event.EndpointAnswers, e.info.ID, "it restarted; its list lacks the runs of the earlier boot")
-		m.recordLoss(now, e, earliestBoot(now, e.size.answeredAt, reply.Clock), refusedAt, out)
+		m.recordLoss(now, e, earliestBoot(now, e.size.answeredAt, reply.Clock), out)
 		m.adoptNewBoot(now, e, out)
-	} else if reply.Renewed {
-		e.leasedUntil = later(e.leasedUntil, reply.Sent.Add(m.cfg.LeaseTime))
 	}
 	m.observeAnswer(now, e, reply, out)
 	e.info.StartedAt = reply.StartedAt
@@ -188,7 +185,6 @@
 		r.maySpanBoots = true
 	}
 	e.maxLeaseEnd = e.clock.latest(now) + m.cfg.LeaseTime
-	e.leasedUntil = time.Time{}
 	e.token = m.newToken(now, e)
 	e.immediatePolling = false // a pending poll has the earlier token
 	m.pollImmediately(now, e, out)
@@ -201,7 +197,6 @@
 	if reply.Outcome != Unhealthy && reply.Outcome != Invalid {
 		e.unansweredSince = now
 	}
-	e.refusedAt = time.Time{}
 	if reply.Clock > 0 && !reply.Sent.Before(e.bootSince) {
 		e.clock = clock{reading: reply.Clock, sent: reply.Sent, received: now}
 	}
@@ -268,9 +263,6 @@
 		m.releaseEnded(now, e, out)
 		e.health.backOff(now)
 	case ConnectionRefused:
-		if e.refusedAt.IsZero() {
-			e.refusedAt = now
-		}
 		e.letLeaseExpire(now)
 		e.health.backOff(now)
 	case Unanswered:
@@ -312,7 +304,7 @@
 // restarted or its lease expired. Starts that are still in flight may reach the
 // next boot, so their outcome is unconfirmed.
 func (m *Machine) releaseEnded(now time.Time, e *endpointState, out *Output) {
-	m.recordLoss(now, e, now, e.refusedAt, out)
+	m.recordLoss(now, e, now, out)
 	for _, r := range e.sortedRuns() {
 		if r.startedAt.IsZero() {
 			m.reportRun(now, e, r, run.Unconfirmed, out)
--- a/pool/status.go
+++ b/pool/status.go
@@ -64,7 +64,7 @@
 // handleStatus handles a peer's status.
 func (m *Machine) handleStatus(p *peer, s message.Status) {
 	previous, first := p.status, !p.statusReceived
-	p.status, p.statusReceived, p.introduced = s, true, true
+	p.status, p.statusReceived = s, true
 	switch {
 	case first || s.Draining != previous.Draining:
 		m.peerChanged(p)
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// resolveSuspects starts, queues or gives up the suspected tasks, by the verdicts on
+// resolveSuspects starts, queues or withholds the suspected tasks, by the verdicts on
 // them.
 func (m *Machine) resolveSuspects(now time.Time, out *Output) {
 	if len(m.suspects) == 0 {
@@ -60,11 +60,11 @@
 }
 
 func (m *Machine) resolveSuspect(now time.Time, t *homeTask, out *Output) {
-	v, until := m.losses.Verdict(now, t.name, t.job.Queue.Name, m.knowsLosses())
+	v, until := m.losses.Verdict(now, t.name, t.job.Queue.Name)
 	h := m.losses.History(t.name)
 	if v != t.verdict {
 		t.verdict = v
-		out.log(event.TaskSuspected, t.name, fmt.Sprintf("%s: lost with %d endpoints, the last one %s; %d of them have restarted, during its run certainly %d, and %d while it ran alone; %d have restarted that did not run it", v, h.Losses, h.Last, h.Proved, h.UnderWay, h.Alone, h.Others))
+		out.log(event.TaskSuspected, t.name, fmt.Sprintf("%s: lost with %d endpoints, the last one %s; %d of them have restarted, at %d of which it had started and at %d it ran alone; %d have restarted that did not run it", v, h.Losses, h.Last, h.Proved, h.Started, h.Alone, h.Others))
 	}
 	switch v {
 	case crash.Free, crash.Apart:
@@ -78,19 +78,18 @@
 		out.wakeAt(until)
 	case crash.Withhold:
 		m.withhold(now, t, h, until, out)
-	case crash.GiveUp:
-		m.endJob(now, t.job, fault.New(fault.TaskFailed, "task %s crashes endpoints: %d have restarted under it and %d without it, the last one is %s", t.name, h.UnderWay, h.Others, h.Last), out)
 	}
 }
 
-// withhold ends the job of a task that does not start again before the given time, unless
-// it can after that.
+// withhold ends the job of a task that does not start again while its caller waits. An
+// instance that is cut off keeps the caller until its deadline, since another instance that
+// does not know of the losses would start the task.
 func (m *Machine) withhold(now time.Time, t *homeTask, h crash.History, until time.Time, out *Output) {
-	if until.Before(t.job.Deadline) {
+	if until.Before(t.job.Deadline) || !m.isolatedSince.IsZero() {
 		out.wakeAt(until)
 		return
 	}
-	m.endJob(now, t.job, fault.New(fault.OutcomeUnknown, "task %s was lost with %d endpoints, which it may have crashed, and is not started again", t.name, h.Losses), out)
+	m.endJob(now, t.job, fault.New(fault.OutcomeUnknown, "task %s was lost with %d endpoints, %d of which have restarted, and is not started again; the last one is %s", t.name, h.Losses, h.Proved, h.Last), out)
 }
 
 // suspectOf returns the first of the job's tasks that wait as suspected, or nil.
