crash: the losses of a task are forgotten together

A withheld task does not start before its losses are forgotten, a minute after the last one. They were forgotten one by one, so that it counted as lost once or twice before that, and started again. TestLossesOfTaskAreForgottenTogether failed: apart at 67 s in place of withhold.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// lossTTL is how long a loss is known. Callers submit a lost job again after
-	// seconds, and an endpoint that crashed is back after seconds.
+	// lossTTL is how long the losses of a task are known after the last one. Callers
+	// submit a lost job again after seconds, and an endpoint that crashed is back after
+	// seconds.
 	lossTTL = time.Minute
 	// maxLosses bounds the losses that are known; the oldest one goes first.
 	maxLosses = 1024
@@ -274,16 +275,24 @@
 // AwaitsProof reports whether there are losses that are neither proved nor withdrawn.
 func (l *Ledger) AwaitsProof() bool { return len(l.unproved) > 0 }
 
-// Expire forgets the losses that are older than lossTTL.
+// Expire forgets the losses that are older than lossTTL, with all of their tasks' others.
 func (l *Ledger) Expire(now time.Time) {
 	for _, k := range slices.Clone(l.order) {
-		if now.Sub(l.losses[k].At) > lossTTL {
+		if loss := l.losses[k]; now.Sub(loss.At) > lossTTL && !l.hasLaterLoss(now, loss) {
 			l.remove(k)
 		}
 	}
 	maps.DeleteFunc(l.blamed, func(_ string, b blame) bool { return now.Sub(b.at) > blameTTL })
 }
 
+// hasLaterLoss reports whether a task of the loss has another one that is not older than
+// lossTTL.
+func (l *Ledger) hasLaterLoss(now time.Time, loss *Loss) bool {
+	return slices.ContainsFunc(loss.Runs, func(r Run) bool {
+		return slices.ContainsFunc(l.byTask[r.Task], func(o *Loss) bool { return now.Sub(o.At) <= lossTTL })
+	})
+}
+
 // Losses returns the losses in the order in which they were recorded.
 func (l *Ledger) Losses() []Loss {
 	list := make([]Loss, 0, len(l.order))
--- a/crash/verdict_test.go
+++ b/crash/verdict_test.go
@@ -147,3 +147,20 @@
 		})
 	}
 }
+
+// TestLossesOfTaskAreForgottenTogether guards against a withheld task that starts again
+// because its losses are forgotten one by one.
+func TestLossesOfTaskAreForgottenTogether(t *testing.T) {
+	is := is.New(t)
+	l := ledgerOf(lostWith{at: 0, state: Proved}, lostWith{at: time.Second, state: Proved}, lostWith{at: 8 * time.Second, state: Proved})
+	l.crashWithout(1)
+	verdictAt := func(d time.Duration) Verdict {
+		l.Expire(now.Add(d))
+		v, _ := l.Verdict(now.Add(d), "t", "q")
+		return v
+	}
+	is.Equal(verdictAt(59*time.Second), Withhold)
+	is.Equal(verdictAt(67*time.Second), Withhold)
+	is.Equal(verdictAt(69*time.Second), Free)
+	is.Equal(len(l.Losses())+len(l.byTask), 0)
+}
