event, pool: each counted failure is logged, and each end that an endpoint lists as failed

Cause: not a fault but a gap. LC2041 with LC1013 names a count and the last endpoint only. The log could not tell an end that was counted twice, or the end of another run or boot, from two failures.

Change: two events. LC2089, at the holder, is an end of a run that an endpoint lists as failed, with its number and the start of the endpoint's boot, which only the holder knows for certain. LC2090, at the home, is a failure that counts: run, endpoint, holder, "2 of 2". Both are ordinary lines, within the bounds of package logline (4,096 in 200 ms; more are dropped and counted, LC2070).

Result: TestEventsOfTroubles expects both for a task that always fails.

--- a/event/table.go
+++ b/event/table.go
@@ -59,6 +59,8 @@
 	EndpointCrashProved
 	EndpointLossWithdrawn
 	TaskSuspected
+	RunFailed
+	FailureCounted
 	numKinds
 )
 
@@ -121,6 +123,8 @@
 	EndpointCrashProved:   row("LC2086", catalogue.Warning, "Endpoint crash proved", "An endpoint that was lost with runs has started again, or another one has at its address.", "As for LC2085."),
 	EndpointLossWithdrawn: row("LC2087", catalogue.Info, "Endpoint loss withdrawn", "An endpoint that was lost with runs answers again without a restart. It was only silent, and no task is suspected for it.", "Check the network to the endpoint."),
 	TaskSuspected:         row("LC2088", catalogue.Info, "Task suspected", "A task that waits was lost with endpoints, so that it may have crashed them. The log gives how it may start again: apart from others if possible, alone on an endpoint, not before the losses are proved or withdrawn (wait), not before they are forgotten (withhold), or as any other (free).", "If it is withheld, look at what the task does."),
+	RunFailed:             row("LC2089", catalogue.Info, "Run failed", "An endpoint has listed the end of a run as failed. The log gives the number of the end and the start of the endpoint's boot, so that no end is taken for another.", "No action is needed. If an endpoint is named often, look at what it runs."),
+	FailureCounted:        row("LC2090", catalogue.Info, "Failure counted", "The home of a job has counted a failed run of a task; the log gives how many failures the queue allows. With the last of them the job fails.", "No action is needed. Each count should have an LC2089 of the same run and endpoint."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -320,6 +320,7 @@
 	case run.Failed:
 		t.failures++
 		t.failedAt = now
+		out.logFailure(t, u)
 		if t.failures >= max(j.Queue.Attempts, 1) {
 			t.state = done
 			m.endJob(now, j, fault.New(fault.TaskFailed, "task %s failed %d times, last on endpoint %s", t.name, t.failures, u.Endpoint), out)
--- a/pool/log_test.go
+++ b/pool/log_test.go
@@ -134,6 +134,7 @@
 	}{
 		{"a calm start", func(*simulation) {}, []event.Kind{event.PeerJoined, event.EndpointAdded, event.EndpointsClaimed}},
 		{"a complete job", func(sim *simulation) { job(sim) }, []event.Kind{event.JobAnswered}},
+		{"a task that always fails", func(sim *simulation) { submitFailing(sim) }, []event.Kind{event.RunFailed, event.FailureCounted, event.JobFailed}},
 		{"refused starts", func(sim *simulation) {
 			sim.addTrouble(300*time.Millisecond, trouble{problem: refused, kinds: starts, share: 1})
 			job(sim)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -157,6 +157,9 @@
 		if end.Number > e.lastEnd {
 			e.lastEnd = end.Number
 			e.ackBy = now.Add(ackDelay)
+			if end.Status == run.Failed {
+				out.logFailedEnd(e, end)
+			}
 			m.finishRun(now, e, end.Run, end.Status, out)
 		}
 	}
