--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -13,8 +13,12 @@
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
-// tailRunFactor is how many times longer the runs of the tail take.
-const tailRunFactor = 7
+const (
+	// tailRunFactor is how many times longer the runs of the tail take.
+	tailRunFactor = 7
+	// maxListedEnds is the number of ends in one list, by the platform's specification.
+	maxListedEnds = 500
+)
 
 type (
 	// fakeEndpoint implements the platform's specification of an endpoint.
@@ -283,7 +287,7 @@
 		}
 		r.Running = append(r.Running, Running{Run: fr.ref, Percent: percent})
 	}
-	r.Ended = append(r.Ended, e.ended...)
+	r.Ended = append(r.Ended, e.ended[:min(len(e.ended), maxListedEnds)]...)
 	r.Draining, r.Remaining = e.leaving.remaining(e.sim.now)
 	if !e.up {
 		r = PollReply{Reply: Reply{Outcome: ConnectionRefused}}
