runner, pool: a planned stop ends only when each request that was read is answered

Cause: stopGracefully decided by a view of the machine that is up to 0.1 s old, and new jobs were admitted until the exit, which closed all connections, those in use too. The view counts jobs; a request whose body is being read, or whose answer is not written, is none. Check and action in two steps, and the state that was checked is not the one that counts.

Ruled out: the end of the grace period; the stops took 2.5 to 3.6 s of 6 s.

Change: Machine.FinishStop finds neither jobs nor runs and ends admission in one step. The HTTP servers are shut down then, not closed, so that the process waits for each request that it has read. What comes to admission later is refused at once as not run (LC1009, 503). LC2003 counts requests. In the test's observer and cluster, only additions.

Without the end of admission TestFinishedStopRefusesJobs fails, and without the shutdown both cases of TestStopAnswersReadRequests.

Why it works: a job is either in the machine before the step, which then does not finish, or refused after it; a request in a handler is known to the server until its answer is written.

--- a/event/table.go
+++ b/event/table.go
@@ -70,8 +70,8 @@
 var table = [numKinds]catalogue.Entry{
 	Started:               row("LC2000", catalogue.Info, "Instance started", "The instance serves callers on the logged addresses.", "No action is needed."),
 	StopStarted:           row("LC2001", catalogue.Info, "Planned stop started", "The instance accepts no new jobs and finishes the jobs that it has.", "Wait for the event that reports the end of the stop."),
-	Stopped:               row("LC2002", catalogue.Info, "Instance stopped", "Every job of the instance was answered before it stopped.", "No action is needed."),
-	StopForced:            row("LC2003", catalogue.Warning, "Stop forced", "A second signal or the time limit of the stop ended the instance before all jobs were answered; the log gives the number of lost jobs.", "Callers of the lost jobs get outcome_unknown; raise the time limit of the stop if this was not intended."),
+	Stopped:               row("LC2002", catalogue.Info, "Instance stopped", "Every request was answered before the instance stopped.", "No action is needed."),
+	StopForced:            row("LC2003", catalogue.Warning, "Stop forced", "A second signal or the time limit of the stop ended the instance before all requests were answered; the log gives how many were lost.", "Callers of the lost requests get outcome_unknown; raise the time limit of the stop if this was not intended."),
 	SettingsLoaded:        row("LC2004", catalogue.Info, "Settings loaded", "The settings file was read and checked.", "No action is needed."),
 	ConfigurationInForce:  row("LC2010", catalogue.Info, "Configuration in force", "A newer version of the classes, targets and quotas is in force on this instance.", "No action is needed."),
 	ConfigurationStale:    row("LC2011", catalogue.Warning, "Configuration may be stale", "Neither the store nor a peer has confirmed the version in force for longer than the limit.", "Check the links to the platform and to the other instances."),
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -242,6 +242,16 @@
 	m.advance(now, out)
 }
 
+// FinishStop ends the planned stop and reports true if no job is unanswered and no
+// run is on a held endpoint. From then on every new job is refused.
+func (m *Machine) FinishStop(now time.Time) bool {
+	if len(m.jobs) > 0 || slices.ContainsFunc(m.held, func(e *endpointState) bool { return len(e.runs) > 0 }) {
+		return false
+	}
+	m.stopsAt = earlier(m.stopsAt, now)
+	return true
+}
+
 // Tick does what is due at the current time.
 func (m *Machine) Tick(now time.Time, out *Output) {
 	m.handleSuspension(now, out)
--- a/runner/run.go
+++ b/runner/run.go
@@ -13,7 +13,6 @@
 
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/internal/httpapi"
-	"github.com/lovagecrank/lovagecrank/pool"
 )
 
 const (
@@ -32,16 +31,6 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
-	// minDrainTime is how long a stopping instance at least accepts connections.
-	// The platform's load balancer stops sending connections only after two
-	// failed readiness probes, which are a second apart.
-	minDrainTime = 2500 * time.Millisecond
-	// exitMargin is how long before the end of its grace period an instance
-	// exits.
-	exitMargin = 250 * time.Millisecond
-	// answerMargin is how long before its exit an instance answers the jobs that
-	// have not ended, so that there is time to send the answers.
-	answerMargin = 150 * time.Millisecond
 )
 
 // Run serves until ctx ends, then carries out a planned stop. If force ends too,
@@ -73,12 +62,12 @@
 
 	select {
 	case <-ctx.Done():
-		r.stopGracefully(force)
+		r.stopGracefully(force, servers)
 	case err = <-failed:
 	}
 	cancel()
 	for _, s := range servers {
-		_ = s.Close() // after a complete planned stop no request is left to be answered
+		_ = s.Close() // after a complete planned stop no request is left unanswered
 	}
 	group.Wait()
 	r.inFlight.Wait()
@@ -128,7 +117,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return []*http.Server{serve(r.NewHandler(r)), serve(readiness), serve(r.metrics.Handler())}
+	return []*http.Server{serve(r.countRequests(r.NewHandler(r))), serve(readiness), serve(r.metrics.Handler())}
 }
 
 // ready reports whether the load balancer should send new connections.
@@ -136,26 +125,4 @@
 	return !r.stopping.Load() && r.routes.Load() != nil && r.view.Load().Ready
 }
 
-// stopGracefully carries out a planned stop. It hands over the endpoints and waits
-// until all jobs are answered and no run is left, but at least for minDrainTime.
-// It returns earlier if force ends, and at the latest exitMargin before the end of
-// the grace period.
-func (r *Runner) stopGracefully(force context.Context) {
-	start := time.Now()
-	r.Record(start, event.Record{Kind: event.StopStarted, Subject: r.cfg.Self.ID})
-	r.stopping.Store(true)
-	end := start.Add(r.cfg.GracePeriod - exitMargin)
-	r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.BeginStop(now, end.Add(-answerMargin), out) })
-	deadlineCtx, cancel := context.WithDeadline(force, end)
-	defer cancel()
-	for deadlineCtx.Err() == nil {
-		if v := r.view.Load(); time.Since(start) > minDrainTime && v.Jobs == 0 && v.Running == 0 {
-			r.Record(time.Now(), event.Record{Kind: event.Stopped, Subject: r.cfg.Self.ID})
-			return
-		}
-		time.Sleep(maxTickInterval / 2)
-	}
-	r.Record(time.Now(), event.Record{Kind: event.StopForced, Subject: r.cfg.Self.ID, Detail: strconv.Itoa(r.view.Load().Jobs) + " jobs were not answered"})
-}
-
 func formatVersion(v uint64) string { return strconv.FormatUint(v, 10) }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -146,7 +146,9 @@
 		encodedConfiguration atomic.Pointer[[]byte]
 		view                 atomic.Pointer[pool.View]
 		stopping             atomic.Bool
-		metrics              *metric.RunnerSet
+		// requests is the number of callers' requests that have no complete answer.
+		requests atomic.Int64
+		metrics  *metric.RunnerSet
 		// memory is the memory that bodies and open jobs take.
 		memory *footprint.Budget
 		// listReads are the reads of the endpoints and the instances from the
