pool: the list proves a loss that is reported after it

Cause: the list showed the restart to that instance before the holder reported the loss. The holder sends no proof that it has from the list. So the loss stayed unproved for a minute.

Ruled out: a lost report (the loss was counted), a late list (six seconds).

TestLossAfterListedRestart failed before: no proved loss, one expected.

--- a/pool/losses.go
+++ b/pool/losses.go
@@ -75,12 +75,12 @@
 	m.sendLosses(now, m.sortedPeers, changed, out)
 }
 
-// proveByList looks for the proof of a new loss in the platform's list, which may
-// have it already.
+// proveByList looks for the proof of a new loss in the platform's list and in the answers
+// of the endpoints, which may have it already.
 func (m *Machine) proveByList(loss crash.Loss, out *Output) {
 	for _, e := range m.sortedEndpoints {
 		if e.info.ID == loss.Endpoint || e.info.Address == loss.Address {
-			m.applyLossChanges(m.losses.ObserveBoot(e.info.ID, e.info.Address, e.info.StartedAt), out)
+			m.applyLossChanges(m.losses.ObserveBoot(e.info.ID, e.info.Address, later(e.info.StartedAt, e.size.boot)), out)
 		}
 	}
 }
