runner: the jobs left at the end of the grace period are answered without a tick

Callers saw: at the end of a stop's grace period, no answer to jobs that were open. Seen once, in a test: TestStopAnswersStartedJobs, with a grace period of 4 s at a load average of about 45, lost three started requests at once.

Cause: these jobs are due 0.4 s before the grace period ends and are answered by the next tick. 0.15 s after they are due the process closes its connections, so that a tick that is 0.1 s late cuts all of them.

Evidence: a trial on a scratch copy of the parent, with a delay of 0.4 s in each tick of a stopping instance: TestStopAnswersLongJobs failed three times of three (EOF). That the failure above had this cause is likely, not shown: no request was cut in 22 more runs of that test (grace period 4 s or 3 s; some with one processor, some with four busy loops). No test of the suite delays a tick.

Change: the stop calls Tick itself at that time.

Result: the trial passes three times of three.

Why it works: the answers no longer depend on when the tick loop runs next.

--- a/runner/planned_stop.go
+++ b/runner/planned_stop.go
@@ -62,8 +62,8 @@
 }
 
 // finishMachine waits until the machine has neither jobs nor runs and refuses new
-// jobs, from the earliest time on and at most until the latest. It returns earlier
-// if ctx ends.
+// jobs, from the earliest time on and at most until the latest, when all jobs are
+// due. It returns earlier if ctx ends.
 func (r *Runner) finishMachine(ctx context.Context, earliest, latest time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
@@ -72,6 +72,7 @@
 	for finished := false; !finished; timer.Reset(finishInterval) {
 		select {
 		case <-ctx.Done():
+			r.apply(func(now time.Time, m *pool.Machine, out *pool.Output) { m.Tick(now, out) }) // answers the jobs that are left
 			return
 		case <-timer.C:
 		}
