--- a/pool/crashes_test.go
+++ b/pool/crashes_test.go
@@ -70,20 +70,14 @@
 	}},
 	{"the home is cut off from its peers", func(sim *simulation, c *callerJob) {
 		sim.after(time.Second, func() {
-			home := sim.homeOf(c)
-			for i := range sim.instances {
-				if home >= 0 && i != home {
-					sim.partitionInstances(home, i, 4*time.Second)
-				}
+			if home := sim.homeOf(c); home >= 0 {
+				sim.isolate(home, 4*time.Second)
 			}
 		})
 	}},
 	{"another endpoint is silent now and then", func(sim *simulation, c *callerJob) {
 		sim.every(time.Second, c, func() {
-			e := sim.randomEndpoint()
-			for n := range sim.instances {
-				sim.partitionEndpoint(n, e.index, 1500*time.Millisecond)
-			}
+			sim.isolateEndpoint(sim.randomEndpoint().index, 1500*time.Millisecond)
 		})
 	}},
 }
@@ -144,9 +138,7 @@
 					sim.advance(500 * time.Millisecond)
 					for _, e := range sim.endpoints {
 						if len(e.runs) > 0 {
-							for n := range sim.instances {
-								sim.partitionEndpoint(n, e.index, 2500*time.Millisecond)
-							}
+							sim.isolateEndpoint(e.index, 2500*time.Millisecond)
 						}
 					}
 					sim.advance(3 * time.Second)
--- a/pool/failed_answers_test.go
+++ b/pool/failed_answers_test.go
@@ -20,9 +20,7 @@
 // meanwhile, after its lease has ended, and starts again under its ID.
 func (e *fakeEndpoint) crashBehindCut(d time.Duration) {
 	sim := e.sim
-	for n := range sim.instances {
-		sim.partitionEndpoint(n, e.index, d)
-	}
+	sim.isolateEndpoint(e.index, d)
 	sim.after(testLeaseTime+randomTime(sim.rng, d-testLeaseTime-rebootTime), func() {
 		if e.up {
 			e.crash(rebootTime)
@@ -50,15 +48,6 @@
 	check()
 }
 
-// isolate cuts an instance off from all others for the given time.
-func (sim *simulation) isolate(i int, d time.Duration) {
-	for o := range sim.instances {
-		if o != i {
-			sim.partitionInstances(i, o, d)
-		}
-	}
-}
-
 // soundTaskCase is what happens to a sound task whose endpoint is lost during each of its
 // runs, at low load, so that it runs alone.
 type soundTaskCase struct {
@@ -96,11 +85,7 @@
 	const cut = 60 * time.Millisecond
 	sim, r := e.sim, e.sortedRuns()[0]
 	end := r.startedAt.Add(r.duration).Sub(sim.now)
-	sim.after(end-cut/3, func() {
-		for n := range sim.instances {
-			sim.partitionEndpoint(n, e.index, cut)
-		}
-	})
+	sim.after(end-cut/3, func() { sim.isolateEndpoint(e.index, cut) })
 	sim.after(end+cut/3, func() { e.crash(rebootTime) })
 }
 
--- a/pool/failure_count_test.go
+++ b/pool/failure_count_test.go
@@ -71,17 +71,6 @@
 	sim.after(interval, next)
 }
 
-// resetStreams resets the streams of a random instance.
-func (sim *simulation) resetStreams() {
-	a := sim.instances[sim.rng.IntN(len(sim.instances))]
-	for _, b := range sim.instances {
-		if a != b {
-			sim.disconnect(a, b)
-			sim.after(randomTime(sim.rng, 400*time.Millisecond), func() { sim.connect(a, b) })
-		}
-	}
-}
-
 // claimElsewhere makes a random instance claim an endpoint that it does not hold.
 func (sim *simulation) claimElsewhere() {
 	id := sim.randomEndpoint().info.ID
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -55,35 +55,16 @@
 		sim.suspend(sim.rng.IntN(len(sim.instances)), 500*time.Millisecond+time.Duration(sim.rng.Int64N(int64(4*time.Second))))
 	}},
 	{"an instance is cut off from the others", func(sim *simulation) {
-		a := sim.rng.IntN(len(sim.instances))
-		for b := range sim.instances {
-			if b != a {
-				sim.partitionInstances(a, b, 3*time.Second)
-			}
-		}
-	}},
-	{"streams are reset", func(sim *simulation) {
-		a := sim.instances[sim.rng.IntN(len(sim.instances))]
-		for _, b := range sim.instances {
-			if a != b {
-				sim.disconnect(a, b)
-				sim.after(time.Duration(sim.rng.Int64N(int64(400*time.Millisecond))), func() { sim.connect(a, b) })
-			}
-		}
+		sim.isolate(sim.rng.IntN(len(sim.instances)), 3*time.Second)
 	}},
+	{"streams are reset", (*simulation).resetStreams},
 	{"an endpoint is cut off from all instances", func(sim *simulation) {
-		e := sim.rng.IntN(len(sim.endpoints))
-		for n := range sim.instances {
-			sim.partitionEndpoint(n, e, 3*time.Second)
-		}
+		sim.isolateEndpoint(sim.rng.IntN(len(sim.endpoints)), 3*time.Second)
 	}},
 	{"a data centre is cut off", func(sim *simulation) { sim.partitionDataCentres(4 * time.Second) }},
 	{"connections to an endpoint are refused", func(sim *simulation) {
 		sim.refuseConnections = true
-		e := sim.rng.IntN(len(sim.endpoints))
-		for n := range sim.instances {
-			sim.partitionEndpoint(n, e, 3*time.Second)
-		}
+		sim.isolateEndpoint(sim.rng.IntN(len(sim.endpoints)), 3*time.Second)
 		sim.after(3*time.Second, func() { sim.refuseConnections = false })
 	}},
 	{"an instance stops as planned", func(sim *simulation) {
--- a/pool/simulation_failures_test.go
+++ b/pool/simulation_failures_test.go
@@ -84,3 +84,30 @@
 	sim.unreachable[k] = true
 	sim.after(d, func() { delete(sim.unreachable, k) })
 }
+
+// isolate cuts an instance off from all others for the given time.
+func (sim *simulation) isolate(i int, d time.Duration) {
+	for o := range sim.instances {
+		if o != i {
+			sim.partitionInstances(i, o, d)
+		}
+	}
+}
+
+// isolateEndpoint cuts an endpoint off from all instances for the given time.
+func (sim *simulation) isolateEndpoint(e int, d time.Duration) {
+	for n := range sim.instances {
+		sim.partitionEndpoint(n, e, d)
+	}
+}
+
+// resetStreams resets the streams of a random instance.
+func (sim *simulation) resetStreams() {
+	a := sim.instances[sim.rng.IntN(len(sim.instances))]
+	for _, b := range sim.instances {
+		if a != b {
+			sim.disconnect(a, b)
+			sim.after(randomTime(sim.rng, 400*time.Millisecond), func() { sim.connect(a, b) })
+		}
+	}
+}
--- a/pool/withheld_test.go
+++ b/pool/withheld_test.go
@@ -79,9 +79,7 @@
 				sim.every(time.Millisecond, c, func() {
 					for _, e := range sim.endpoints {
 						if !e.up && !sim.unreachable[[2]int{0, e.index}] {
-							for n := range sim.instances {
-								sim.partitionEndpoint(n, e.index, crashDowntime-5*time.Millisecond)
-							}
+							sim.isolateEndpoint(e.index, crashDowntime-5*time.Millisecond)
 						}
 					}
 				})
