sharing: the division of waiting tasks is a package of its own

It was part of pool.Machine's package, though it knows nothing of jobs, endpoints or messages. No behaviour changes.

--- a/pool/free_slots.go
+++ b/pool/free_slots.go
@@ -66,7 +66,7 @@
 		c := &p.capacities[i]
 		for k := range c.Backlog {
 			w := &c.Backlog[k]
-			open := m.openOffers(p.info.Ref, shareKey{c.Service, w.Priority, w.Late})
+			open := m.openOffers(p.info.Ref, kindOf(c.Service, *w))
 			w.Share = max(min(w.Share, w.Tasks)-open, 0)
 		}
 	}
@@ -81,7 +81,7 @@
 	}
 	v := m.ownFreeSlots(now)
 	m.divideBacklog(now, v)
-	if due := m.shares.nextTimeout(now); !due.IsZero() {
+	if due := m.shares.NextTimeout(now); !due.IsZero() {
 		out.wakeAt(due)
 	}
 	recipients := m.recipients()
@@ -99,7 +99,7 @@
 	m.freeSlots.nextAt = now.Add(m.sendInterval(len(recipients), shareSendInterval, backlogCPUShare))
 	for _, p := range recipients {
 		m.send(p.info.Ref, m.withShares(v, p.info.Ref), out)
-		m.shares.sent(p.info.Ref)
+		m.shares.Sent(p.info.Ref)
 	}
 }
 
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -9,6 +9,7 @@
 	"github.com/lovagecrank/lovagecrank/crash"
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/patience"
+	"github.com/lovagecrank/lovagecrank/sharing"
 )
 
 const (
@@ -151,7 +152,7 @@
 		offers map[uint64]*offer
 		// shares are the shares of the waiting tasks that holders may offer
 		// slots for.
-		shares    shares
+		shares    *sharing.Shares
 		lastOffer uint64
 		// offerCounts counts the offers, for metrics.
 		offerCounts OfferCounts
@@ -200,7 +201,7 @@
 		parked:        map[string]*homeJob{},
 		runNumbers:    runNumbers{byJob: map[string]int64{}},
 		offers:        map[uint64]*offer{},
-		shares:        newShares(cfg.Self.ID),
+		shares:        sharing.New(cfg.Self.ID),
 		taskSizes:     map[string]*taskSizes{},
 		answerTimes:   newAnswerTimes(),
 		patience:      patience.NewLearner(),
--- a/pool/offers.go
+++ b/pool/offers.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/sharing"
 	"github.com/lovagecrank/lovagecrank/task"
 )
 
@@ -23,7 +24,7 @@
 // offer is a slot reserved for a peer.
 type offer struct {
 	peer     instance.Ref
-	key      shareKey
+	kind     sharing.Kind
 	endpoint *endpointState
 	needs    task.Needs
 	sentAt   time.Time
@@ -77,7 +78,7 @@
 		}
 		w.Tasks--
 		w.Share--
-		m.sendOffer(now, e, p, shareKey{service, w.Priority, w.Late}, w.Needs.Min(e.remaining()), out)
+		m.sendOffer(now, e, p, kindOf(service, *w), w.Needs.Min(e.remaining()), out)
 	}
 }
 
@@ -116,15 +117,15 @@
 	return p.slack(now, w)+urgencyMargin < j.startBy.Sub(now)
 }
 
-func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, key shareKey, needs task.Needs, out *Output) {
+func (m *Machine) sendOffer(now time.Time, e *endpointState, p *peer, kind sharing.Kind, needs task.Needs, out *Output) {
 	m.lastOffer++
-	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, key: key, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
+	m.offers[m.lastOffer] = &offer{peer: p.info.Ref, kind: kind, endpoint: e, needs: needs, sentAt: now, until: now.Add(offerTTL)}
 	m.offerCounts.Sent++
 	e.used = addScaled(e.used, needs, 1)
 	e.reserved++
 	out.wakeAt(now.Add(offerTTL))
 	m.send(p.info.Ref, message.Offer{
-		Number: m.lastOffer, Service: key.service, Needs: needs,
+		Number: m.lastOffer, Service: kind.Service, Needs: needs,
 	}, out)
 }
 
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -119,7 +119,7 @@
 	m.peerChanged(p)
 	out.log(event.PeerLost, ref.ID, "the stream has ended")
 	m.removeOffersTo(now, ref)
-	m.shares.remove(ref)
+	m.shares.Remove(ref)
 	p.clearShares()
 	out.wakeAt(now.Add(reconnectTimeout + time.Millisecond))
 	m.advance(now, out)
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -103,7 +103,7 @@
 				continue
 			}
 			s.Offer = o.Number
-			m.shares.offered(now, o.Service, p.info.Ref, true)
+			m.shares.Offered(now, o.Service, p.info.Ref, true)
 			j.waiting = slices.Delete(j.waiting, i, i+1)
 			m.placeOnPeer(t, p, s, out)
 			if len(j.waiting) == 0 {
@@ -112,7 +112,7 @@
 			return
 		}
 	}
-	m.shares.offered(now, o.Service, p.info.Ref, false)
+	m.shares.Offered(now, o.Service, p.info.Ref, false)
 	m.send(p.info.Ref, message.Decline{Number: o.Number}, out)
 }
 
--- a/pool/sharing.go
+++ b/pool/sharing.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagecrank/lovagecrank/instance"
 	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/sharing"
 )
 
 // listedSlotsAge is how long the number of a peer's listed slots is used.
@@ -14,9 +15,9 @@
 
 // divideBacklog divides the waiting tasks of the report among the recipients.
 func (m *Machine) divideBacklog(now time.Time, v message.FreeSlots) {
-	for k := range m.shares.open {
-		if c := capacityOf(v.Capacities, k.service); c == nil || waitingTasks(c.Backlog, k) == nil {
-			m.shares.divide(now, k, 0, nil)
+	for k := range m.shares.Kinds() {
+		if c := capacityOf(v.Capacities, k.Service); c == nil || waitingTasks(c.Backlog, k) == nil {
+			m.shares.Divide(now, k, 0, nil)
 		}
 	}
 	for _, c := range v.Capacities {
@@ -25,15 +26,20 @@
 		}
 		receivers := m.receivers(now, c.Service)
 		for _, w := range c.Backlog {
-			m.shares.divide(now, shareKey{c.Service, w.Priority, w.Late}, w.Share, receivers)
+			m.shares.Divide(now, kindOf(c.Service, w), w.Share, receivers)
 		}
 	}
 }
 
+// kindOf returns the kind of the waiting tasks of a service.
+func kindOf(service string, w message.WaitingTasks) sharing.Kind {
+	return sharing.Kind{Service: service, Priority: w.Priority, Late: w.Late}
+}
+
 // waitingTasks returns the tasks of that kind in a backlog, or nil.
-func waitingTasks(backlog []message.WaitingTasks, k shareKey) *message.WaitingTasks {
+func waitingTasks(backlog []message.WaitingTasks, k sharing.Kind) *message.WaitingTasks {
 	for i := range backlog {
-		if w := &backlog[i]; w.Priority == k.priority && w.Late == k.late {
+		if w := &backlog[i]; w.Priority == k.Priority && w.Late == k.Late {
 			return w
 		}
 	}
@@ -42,14 +48,14 @@
 
 // receivers returns the recipients that may get shares of the waiting tasks of a
 // service.
-func (m *Machine) receivers(now time.Time, service string) []receiver {
-	var list []receiver
+func (m *Machine) receivers(now time.Time, service string) []sharing.Receiver {
+	var list []sharing.Receiver
 	for _, p := range m.recipients() {
 		if p.status.Draining || p.closed {
 			continue
 		}
 		if n := m.slotsOf(now, p, service); n > 0 {
-			list = append(list, receiver{p.info.Ref, n})
+			list = append(list, sharing.Receiver{Ref: p.info.Ref, Slots: n})
 		}
 	}
 	return list
@@ -77,7 +83,7 @@
 func (m *Machine) withChangedShare(recipients []*peer) []*peer {
 	var list []*peer
 	for _, p := range recipients {
-		if m.shares.changedFor(p.info.Ref) {
+		if m.shares.Unsent(p.info.Ref) {
 			list = append(list, p)
 		}
 	}
@@ -92,7 +98,7 @@
 		c.Backlog = slices.Clone(c.Backlog)
 		for k := range c.Backlog {
 			w := &c.Backlog[k]
-			w.Share = m.shares.shareOf(shareKey{c.Service, w.Priority, w.Late}, to)
+			w.Share = m.shares.Of(kindOf(c.Service, *w), to)
 		}
 	}
 	return v
@@ -101,10 +107,10 @@
 // openOffers returns how many offers to the peer for that kind of tasks are
 // open. The peer has not seen them when it sent a message that arrives now, since
 // it answers each one at once and messages of a stream keep their order.
-func (m *Machine) openOffers(to instance.Ref, k shareKey) int {
+func (m *Machine) openOffers(to instance.Ref, k sharing.Kind) int {
 	n := 0
 	for _, o := range m.offers {
-		if o.peer == to && o.key == k {
+		if o.peer == to && o.kind == k {
 			n++
 		}
 	}
--- a/pool/sharing_failures_test.go
+++ b/pool/sharing_failures_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/message"
+	"github.com/lovagecrank/lovagecrank/sharing"
 )
 
 // sharedTasks is an installation with busy slots in which an urgent job waits at
@@ -39,7 +40,7 @@
 // holder returns an instance that has a share of the job's tasks.
 func (s *sharedTasks) holder() int {
 	for i, n := range s.instances {
-		if s.instances[0].machine.shares.shareOf(shareKey{"s", 0, false}, n.self.Ref) > 0 {
+		if s.instances[0].machine.shares.Of(sharing.Kind{Service: "s"}, n.self.Ref) > 0 {
 			return i
 		}
 	}
@@ -54,7 +55,7 @@
 	for _, o := range s.instances[1:] {
 		if p := o.machine.peers[s.instances[0].self.Ref]; p != nil {
 			if c := p.capacity("s"); c != nil {
-				if w := waitingTasks(c.Backlog, shareKey{"s", 0, false}); w != nil {
+				if w := waitingTasks(c.Backlog, sharing.Kind{Service: "s"}); w != nil {
 					n += max(w.Share, 0)
 				}
 			}
@@ -160,7 +161,7 @@
 	is.Equal(s.knownShares(), s.waiting())
 	s.disconnect(home, h)
 	s.advance(2 * time.Millisecond)
-	is.Equal(home.machine.shares.shareOf(shareKey{"s", 0, false}, h.self.Ref), 0)
+	is.Equal(home.machine.shares.Of(sharing.Kind{Service: "s"}, h.self.Ref), 0)
 	s.connect(home, h)
 	p := h.machine.peers[home.self.Ref]
 	for _, c := range p.capacities { // those of the earlier stream
--- a/pool/shares.go
+++ b/sharing/shares.go
@@ -1,7 +1,9 @@
-package pool
+package sharing
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -24,26 +26,29 @@
 )
 
 type (
-	// shareKey identifies a kind of waiting tasks.
-	shareKey struct {
-		service  string
-		priority int
-		late     bool
+	// Kind is a kind of waiting tasks.
+	Kind struct {
+		Service string
+		// Priority is that of the tasks' queue; 0 is the most urgent.
+		Priority int
+		// Late means that the tasks are less urgent than all that are not.
+		Late bool
 	}
 
-	// receiver is a holder that may get shares, with its slots.
-	receiver struct {
-		ref   instance.Ref
-		slots int
+	// Receiver is a holder that may get shares.
+	Receiver struct {
+		Ref instance.Ref
+		// Slots is the number of its slots, at least one.
+		Slots int
 	}
 
-	// shares divides the waiting tasks of one home among the holders, so that
+	// Shares divides the waiting tasks of one home among the holders, so that
 	// the holders' offers add up to what waits.
-	shares struct {
+	Shares struct {
 		home string
 		// open are the shares that holders have and have not offered for, and
 		// turns whose turn it is to get one.
-		open  map[shareKey]map[instance.Ref]*share
+		open  map[Kind]map[instance.Ref]*share
 		turns map[turnKey]*turn
 	}
 
@@ -73,13 +78,27 @@
 	}
 )
 
-func newShares(home string) shares {
-	return shares{home: home, open: map[shareKey]map[instance.Ref]*share{}, turns: map[turnKey]*turn{}}
+// Compare orders the kinds of one service by urgency, the most urgent first.
+func (k Kind) Compare(o Kind) int {
+	return cmp.Or(cmp.Compare(ordinal(k.Late), ordinal(o.Late)), cmp.Compare(k.Priority, o.Priority))
 }
 
-// divide makes the shares of a kind of waiting tasks add up to their number, as
+// ordinal orders false before true.
+func ordinal(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// New returns the shares of the home with that ID, which has no waiting tasks.
+func New(home string) *Shares {
+	return &Shares{home: home, open: map[Kind]map[instance.Ref]*share{}, turns: map[turnKey]*turn{}}
+}
+
+// Divide makes the shares of a kind of waiting tasks add up to their number, as
 // far as there are receivers.
-func (s *shares) divide(now time.Time, k shareKey, tasks int, receivers []receiver) {
+func (s *Shares) Divide(now time.Time, k Kind, tasks int, receivers []Receiver) {
 	open := s.open[k]
 	if open == nil {
 		if tasks == 0 || len(receivers) == 0 {
@@ -88,7 +107,7 @@
 		open = map[instance.Ref]*share{}
 		s.open[k] = open
 	}
-	s.addTurns(k.service, receivers)
+	s.addTurns(k.Service, receivers)
 	s.removeMissing(k, receivers)
 	s.expire(now, k, receivers)
 	sum := 0
@@ -103,28 +122,28 @@
 	}
 }
 
-// removeMissing takes back the shares of holders that are no longer receivers.
-func (s *shares) removeMissing(k shareKey, receivers []receiver) {
+// removeMissing takes back the shares of holders that are no longer Receivers.
+func (s *Shares) removeMissing(k Kind, receivers []Receiver) {
 	for ref, o := range s.open[k] {
-		if !slices.ContainsFunc(receivers, func(r receiver) bool { return r.ref == ref }) {
+		if !slices.ContainsFunc(receivers, func(r Receiver) bool { return r.Ref == ref }) {
 			o.set(0)
 		}
 	}
 }
 
 // expire takes back the shares of which nothing was served for too long, if
-// another receiver can get them.
-func (s *shares) expire(now time.Time, k shareKey, receivers []receiver) {
+// another Receiver can get them.
+func (s *Shares) expire(now time.Time, k Kind, receivers []Receiver) {
 	if len(receivers) < 2 {
 		return
 	}
 	for _, r := range receivers {
-		o := s.open[k][r.ref]
-		if o == nil || o.tasks == 0 || now.Sub(o.since) < s.timeout(k.service, r.ref) {
+		o := s.open[k][r.Ref]
+		if o == nil || o.tasks == 0 || now.Sub(o.since) < s.timeout(k.Service, r.Ref) {
 			continue
 		}
 		o.set(0)
-		t := s.turn(k.service, r)
+		t := s.turn(k.Service, r)
 		t.timeouts = min(max(2*t.timeouts, 1), maxShareTimeouts)
 		t.passedOverUntil = now.Add(time.Duration(t.timeouts) * shareTimeout)
 	}
@@ -133,7 +152,7 @@
 // timeout returns how long a holder keeps a share of which it serves nothing. It
 // is longer for one that served nothing the last times, so that shares do not
 // change hands all the time when no holder has room.
-func (s *shares) timeout(service string, ref instance.Ref) time.Duration {
+func (s *Shares) timeout(service string, ref instance.Ref) time.Duration {
 	t := s.turns[turnKey{service, ref}]
 	if t == nil {
 		return shareTimeout
@@ -142,21 +161,21 @@
 }
 
 // give shares one more task with the receiver that is next.
-func (s *shares) give(now time.Time, k shareKey, receivers []receiver) {
-	best := slices.MinFunc(receivers, func(a, b receiver) int {
-		x, y := s.turn(k.service, a), s.turn(k.service, b)
+func (s *Shares) give(now time.Time, k Kind, receivers []Receiver) {
+	best := slices.MinFunc(receivers, func(a, b Receiver) int {
+		x, y := s.turn(k.Service, a), s.turn(k.Service, b)
 		return cmp.Or(
-			compareBool(now.Before(x.passedOverUntil), now.Before(y.passedOverUntil)),
+			cmp.Compare(ordinal(now.Before(x.passedOverUntil)), ordinal(now.Before(y.passedOverUntil))),
 			cmp.Compare(s.level(k, a), s.level(k, b)),
 			cmp.Compare(x.next, y.next),
-			cmp.Compare(a.ref.ID, b.ref.ID),
+			cmp.Compare(a.Ref.ID, b.Ref.ID),
 		)
 	})
-	s.turn(k.service, best).next += 1 / float64(best.slots)
-	o := s.open[k][best.ref]
+	s.turn(k.Service, best).next += 1 / float64(best.Slots)
+	o := s.open[k][best.Ref]
 	if o == nil {
 		o = &share{}
-		s.open[k][best.ref] = o
+		s.open[k][best.Ref] = o
 	}
 	if o.tasks == 0 {
 		o.since = now
@@ -166,11 +185,11 @@
 
 // take takes back one task from the receiver with the highest level, the one that
 // got the last share first.
-func (s *shares) take(k shareKey, receivers []receiver) {
+func (s *Shares) take(k Kind, receivers []Receiver) {
 	var worst *share
-	var of receiver
+	var of Receiver
 	for _, r := range receivers {
-		o := s.open[k][r.ref]
+		o := s.open[k][r.Ref]
 		if o == nil || o.tasks == 0 {
 			continue
 		}
@@ -182,12 +201,12 @@
 }
 
 // level returns in steps how much of a receiver's slots its shares take up.
-func (s *shares) level(k shareKey, r receiver) int {
-	o := s.open[k][r.ref]
+func (s *Shares) level(k Kind, r Receiver) int {
+	o := s.open[k][r.Ref]
 	if o == nil {
 		return 0
 	}
-	return shareSteps * o.tasks / r.slots
+	return shareSteps * o.tasks / r.Slots
 }
 
 func (o *share) set(tasks int) {
@@ -195,12 +214,12 @@
 	o.tasks = tasks
 }
 
-func (s *shares) turn(service string, r receiver) *turn { return s.turns[turnKey{service, r.ref}] }
+func (s *Shares) turn(service string, r Receiver) *turn { return s.turns[turnKey{service, r.Ref}] }
 
 // addTurns adds the turns of new receivers. The first turns depend on the home, so
 // that homes with few tasks ask different holders; a receiver that comes later is
 // among the next.
-func (s *shares) addTurns(service string, receivers []receiver) {
+func (s *Shares) addTurns(service string, receivers []Receiver) {
 	lowest, missing := math.Inf(1), false
 	for _, r := range receivers {
 		if t := s.turn(service, r); t != nil {
@@ -216,24 +235,24 @@
 		lowest = 0
 	}
 	for _, r := range receivers {
-		if k := (turnKey{service, r.ref}); s.turns[k] == nil {
-			s.turns[k] = &turn{next: lowest + admission.HashFraction(s.home+"\x00"+r.ref.ID)/float64(r.slots)}
+		if k := (turnKey{service, r.Ref}); s.turns[k] == nil {
+			s.turns[k] = &turn{next: lowest + admission.HashFraction(s.home+"\x00"+r.Ref.ID)/float64(r.Slots)}
 		}
 	}
 }
 
-// offered counts an offer of a holder, which may have been of use or not. It
+// Offered counts an offer of a holder, which may have been of use or not. It
 // stands for the most urgent task that the holder has a share of.
-func (s *shares) offered(now time.Time, service string, ref instance.Ref, useful bool) {
+func (s *Shares) Offered(now time.Time, service string, ref instance.Ref, useful bool) {
 	t := s.turns[turnKey{service, ref}]
 	if t != nil && useful {
 		t.timeouts, t.passedOverUntil = 0, time.Time{}
 	}
 	var at *share
-	var of shareKey
+	var of Kind
 	for k, shares := range s.open {
 		o := shares[ref]
-		if k.service == service && o != nil && o.tasks > 0 && (at == nil || compareShareKeys(k, of) < 0) {
+		if k.Service == service && o != nil && o.tasks > 0 && (at == nil || k.Compare(of) < 0) {
 			at, of = o, k
 		}
 	}
@@ -247,8 +266,8 @@
 	}
 }
 
-// remove forgets a lost holder.
-func (s *shares) remove(ref instance.Ref) {
+// Remove forgets a lost holder.
+func (s *Shares) Remove(ref instance.Ref) {
 	for _, shares := range s.open {
 		delete(shares, ref)
 	}
@@ -259,16 +278,16 @@
 	}
 }
 
-// shareOf returns a holder's share of a kind of waiting tasks.
-func (s *shares) shareOf(k shareKey, ref instance.Ref) int {
+// Of returns a holder's share of a kind of waiting tasks.
+func (s *Shares) Of(k Kind, ref instance.Ref) int {
 	if o := s.open[k][ref]; o != nil {
 		return o.tasks
 	}
 	return 0
 }
 
-// changedFor reports whether a holder has a share that it does not know.
-func (s *shares) changedFor(ref instance.Ref) bool {
+// Unsent reports whether a holder has a share that it does not know.
+func (s *Shares) Unsent(ref instance.Ref) bool {
 	for _, shares := range s.open {
 		if o := shares[ref]; o != nil && o.changed {
 			return true
@@ -277,8 +296,8 @@
 	return false
 }
 
-// sent records that a holder has been sent its shares.
-func (s *shares) sent(ref instance.Ref) {
+// Sent records that a holder has been sent its shares.
+func (s *Shares) Sent(ref instance.Ref) {
 	for _, shares := range s.open {
 		if o := shares[ref]; o != nil {
 			o.changed = false
@@ -286,13 +305,13 @@
 	}
 }
 
-// nextTimeout returns when the next share expires; zero if there is none. Shares
+// NextTimeout returns when the next share expires; zero if there is none. Shares
 // that have expired already stay while there is nobody else to get them.
-func (s *shares) nextTimeout(now time.Time) time.Time {
+func (s *Shares) NextTimeout(now time.Time) time.Time {
 	var next time.Time
 	for k, shares := range s.open {
 		for ref, o := range shares {
-			if due := o.since.Add(s.timeout(k.service, ref)); o.tasks > 0 && due.After(now) && (next.IsZero() || due.Before(next)) {
+			if due := o.since.Add(s.timeout(k.Service, ref)); o.tasks > 0 && due.After(now) && (next.IsZero() || due.Before(next)) {
 				next = due
 			}
 		}
@@ -300,7 +319,5 @@
 	return next
 }
 
-// compareShareKeys orders kinds of waiting tasks of a service by urgency.
-func compareShareKeys(a, b shareKey) int {
-	return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.priority, b.priority))
-}
+// Kinds returns the kinds of which holders may have shares, in no particular order.
+func (s *Shares) Kinds() iter.Seq[Kind] { return maps.Keys(s.open) }
--- a/pool/shares_test.go
+++ b/sharing/shares_test.go
@@ -1,4 +1,4 @@
-package pool
+package sharing
 
 import (
 	"testing"
@@ -11,24 +11,24 @@
 
 var (
 	sharesStart = time.Unix(1_800_000_000, 0)
-	testKey     = shareKey{service: "s", priority: 1}
+	testKey     = Kind{Service: "s", Priority: 1}
 )
 
 func holderRef(id string) instance.Ref { return instance.Ref{ID: id, Incarnation: 1} }
 
-func receiversWith(slots ...int) []receiver {
-	var list []receiver
+func receiversWith(slots ...int) []Receiver {
+	var list []Receiver
 	for i, n := range slots {
-		list = append(list, receiver{holderRef(string(rune('a' + i))), n})
+		list = append(list, Receiver{holderRef(string(rune('a' + i))), n})
 	}
 	return list
 }
 
 // sharesOf returns the shares of the receivers in their order.
-func (s *shares) sharesOf(k shareKey, receivers []receiver) []int {
+func (s *Shares) sharesOf(k Kind, receivers []Receiver) []int {
 	var list []int
 	for _, r := range receivers {
-		list = append(list, s.shareOf(k, r.ref))
+		list = append(list, s.Of(k, r.Ref))
 	}
 	return list
 }
@@ -62,9 +62,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := newShares("home")
+			s := New("home")
 			receivers := receiversWith(tt.slots...)
-			s.divide(sharesStart, testKey, tt.tasks, receivers)
+			s.Divide(sharesStart, testKey, tt.tasks, receivers)
 			got := s.sharesOf(testKey, receivers)
 			if len(receivers) > 0 {
 				is.Equal(sum(got), tt.tasks)
@@ -85,27 +85,27 @@
 	is := is.New(t)
 	receivers := receiversWith(4, 8, 4, 8)
 	asked := map[instance.Ref]int{}
-	s := newShares("home")
+	s := New("home")
 	for i := range 120 {
 		now := sharesStart.Add(time.Duration(i) * time.Millisecond)
-		s.divide(now, testKey, 1, receivers)
+		s.Divide(now, testKey, 1, receivers)
 		for _, r := range receivers {
-			if s.shareOf(testKey, r.ref) > 0 {
-				asked[r.ref]++
-				s.offered(now, "s", r.ref, true)
+			if s.Of(testKey, r.Ref) > 0 {
+				asked[r.Ref]++
+				s.Offered(now, "s", r.Ref, true)
 			}
 		}
 	}
 	for _, r := range receivers {
-		is.True(asked[r.ref] >= 5*r.slots-1 && asked[r.ref] <= 5*r.slots+1)
+		is.True(asked[r.Ref] >= 5*r.Slots-1 && asked[r.Ref] <= 5*r.Slots+1)
 	}
 	first := map[instance.Ref]bool{}
 	for _, home := range []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"} {
-		s := newShares(home)
-		s.divide(sharesStart, testKey, 1, receivers)
+		s := New(home)
+		s.Divide(sharesStart, testKey, 1, receivers)
 		for _, r := range receivers {
-			if s.shareOf(testKey, r.ref) > 0 {
-				first[r.ref] = true
+			if s.Of(testKey, r.Ref) > 0 {
+				first[r.Ref] = true
 			}
 		}
 	}
@@ -116,27 +116,27 @@
 func TestSharesFollowTasks(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newShares("home")
+	s := New("home")
 	receivers := receiversWith(10, 10, 10)
-	s.divide(sharesStart, testKey, 9, receivers)
+	s.Divide(sharesStart, testKey, 9, receivers)
 	is.Equal(s.sharesOf(testKey, receivers), []int{3, 3, 3})
 	for _, r := range receivers {
-		is.True(s.changedFor(r.ref))
-		s.sent(r.ref)
+		is.True(s.Unsent(r.Ref))
+		s.Sent(r.Ref)
 	}
-	s.divide(sharesStart, testKey, 9, receivers)
-	is.True(!s.changedFor(receivers[0].ref)) // nothing to send again
+	s.Divide(sharesStart, testKey, 9, receivers)
+	is.True(!s.Unsent(receivers[0].Ref)) // nothing to send again
 
-	s.offered(sharesStart, "s", receivers[0].ref, true) // the holder has counted it too
-	s.divide(sharesStart, testKey, 8, receivers)
+	s.Offered(sharesStart, "s", receivers[0].Ref, true) // the holder has counted it too
+	s.Divide(sharesStart, testKey, 8, receivers)
 	is.Equal(s.sharesOf(testKey, receivers), []int{2, 3, 3})
-	is.True(!s.changedFor(receivers[0].ref))
+	is.True(!s.Unsent(receivers[0].Ref))
 
-	s.divide(sharesStart, testKey, 2, receivers) // others were served elsewhere
+	s.Divide(sharesStart, testKey, 2, receivers) // others were served elsewhere
 	is.Equal(sum(s.sharesOf(testKey, receivers)), 2)
-	s.divide(sharesStart, testKey, 0, receivers)
+	s.Divide(sharesStart, testKey, 0, receivers)
 	is.Equal(s.sharesOf(testKey, receivers), []int{0, 0, 0})
-	is.True(s.nextTimeout(sharesStart).IsZero())
+	is.True(s.NextTimeout(sharesStart).IsZero())
 }
 
 // TestOfferCountsForMostUrgentShare checks that an offer counts against the most
@@ -144,26 +144,26 @@
 func TestOfferCountsForMostUrgentShare(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newShares("home")
+	s := New("home")
 	receivers := receiversWith(10)
-	keys := []shareKey{{"s", 0, true}, {"s", 2, false}, {"s", 1, false}, {"other", 0, false}}
+	keys := []Kind{{"s", 0, true}, {"s", 2, false}, {"s", 1, false}, {"other", 0, false}}
 	for _, k := range keys {
-		s.divide(sharesStart, k, 1, receivers)
+		s.Divide(sharesStart, k, 1, receivers)
 	}
-	var got []shareKey
+	var got []Kind
 	for range 4 {
-		before := map[shareKey]int{}
+		before := map[Kind]int{}
 		for _, k := range keys {
-			before[k] = s.shareOf(k, receivers[0].ref)
+			before[k] = s.Of(k, receivers[0].Ref)
 		}
-		s.offered(sharesStart, "s", receivers[0].ref, true)
+		s.Offered(sharesStart, "s", receivers[0].Ref, true)
 		for _, k := range keys {
-			if s.shareOf(k, receivers[0].ref) < before[k] {
+			if s.Of(k, receivers[0].Ref) < before[k] {
 				got = append(got, k)
 			}
 		}
 	}
-	is.Equal(got, []shareKey{keys[2], keys[1], keys[0]}) // the fourth offer has no share
+	is.Equal(got, []Kind{keys[2], keys[1], keys[0]}) // the fourth offer has no share
 }
 
 // TestSharesOfSilentHolder checks that a holder which serves nothing, being slow,
@@ -172,22 +172,22 @@
 func TestSharesOfSilentHolder(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newShares("home")
+	s := New("home")
 	receivers := receiversWith(10, 10, 10)
-	silent := receivers[1].ref
+	silent := receivers[1].Ref
 	held := 0
 	for ms := range 1000 {
 		now := sharesStart.Add(time.Duration(ms) * time.Millisecond)
-		s.divide(now, testKey, 6, receivers)
+		s.Divide(now, testKey, 6, receivers)
 		is.Equal(sum(s.sharesOf(testKey, receivers)), 6)
-		held += s.shareOf(testKey, silent)
+		held += s.Of(testKey, silent)
 		if ms%10 == 0 {
-			s.offered(now, "s", receivers[0].ref, true)
-			s.offered(now, "s", receivers[2].ref, true)
+			s.Offered(now, "s", receivers[0].Ref, true)
+			s.Offered(now, "s", receivers[2].Ref, true)
 		}
 	}
 	is.True(held < 2*1000*2/3) // its share would be two for all the time
-	s.offered(sharesStart.Add(time.Second), "s", silent, true)
+	s.Offered(sharesStart.Add(time.Second), "s", silent, true)
 	is.Equal(s.timeout("s", silent), shareTimeout)
 }
 
@@ -196,14 +196,14 @@
 func TestSharesWithoutAnotherHolder(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newShares("home")
+	s := New("home")
 	receivers := receiversWith(10)
-	s.divide(sharesStart, testKey, 2, receivers)
-	is.Equal(s.nextTimeout(sharesStart), sharesStart.Add(shareTimeout))
+	s.Divide(sharesStart, testKey, 2, receivers)
+	is.Equal(s.NextTimeout(sharesStart), sharesStart.Add(shareTimeout))
 	now := sharesStart.Add(shareTimeout)
-	s.divide(now, testKey, 2, receivers)
-	is.Equal(s.shareOf(testKey, receivers[0].ref), 2)
-	is.True(s.nextTimeout(now).IsZero())
+	s.Divide(now, testKey, 2, receivers)
+	is.Equal(s.Of(testKey, receivers[0].Ref), 2)
+	is.True(s.NextTimeout(now).IsZero())
 }
 
 // TestSharesOfLostHolder checks that the shares of a holder that is lost, or no
@@ -212,17 +212,17 @@
 func TestSharesOfLostHolder(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newShares("home")
+	s := New("home")
 	receivers := receiversWith(10, 10, 10)
-	s.divide(sharesStart, testKey, 6, receivers)
-	s.remove(receivers[0].ref)
-	s.divide(sharesStart, testKey, 6, receivers[1:])
+	s.Divide(sharesStart, testKey, 6, receivers)
+	s.Remove(receivers[0].Ref)
+	s.Divide(sharesStart, testKey, 6, receivers[1:])
 	is.Equal(s.sharesOf(testKey, receivers), []int{0, 3, 3})
-	s.divide(sharesStart, testKey, 6, receivers[2:]) // draining
+	s.Divide(sharesStart, testKey, 6, receivers[2:]) // draining
 	is.Equal(s.sharesOf(testKey, receivers), []int{0, 0, 6})
-	s.divide(sharesStart, testKey, 9, receivers)
+	s.Divide(sharesStart, testKey, 9, receivers)
 	is.Equal(sum(s.sharesOf(testKey, receivers)), 9)
-	is.True(s.shareOf(testKey, receivers[0].ref) > 0)
-	s.divide(sharesStart, testKey, 9, nil)
+	is.True(s.Of(testKey, receivers[0].Ref) > 0)
+	s.Divide(sharesStart, testKey, 9, nil)
 	is.Equal(sum(s.sharesOf(testKey, receivers)), 0)
 }
