pool: urgent tasks are shared with several holders

Cause: each task was shared with one holder. A holder of ten slots frees one each 18 ms, so the last of eight tasks at eight holders came after 43 ms on average, where one queue has eight slots within 15 ms. A home also used an offer that was made for an urgent task for whatever it had, if only a run of 900 ms, while the holder knew of more urgent tasks elsewhere.

Change: the most urgent kind that waits at a home is shared with as many holders as have about 40 slots, if one of its tasks must start within the timeout of a share and less urgent tasks wait anywhere. A home declines an offer for which it has only less urgent tasks.

--- a/pool/fake_endpoint_test.go
+++ b/pool/fake_endpoint_test.go
@@ -164,6 +164,9 @@
 		return e.reply(Full)
 	}
 	e.checkRoom(s, addScaled(used, n, 1))
+	if e.sim.onStart != nil {
+		e.sim.onStart(e, s)
+	}
 	r := &fakeRun{ref: s.Run, needs: n, startedAt: e.sim.now, duration: time.Duration(e.currentSlowdown() * float64(duration))}
 	if e.tailShare > 0 && e.sim.rng.Float64() < e.tailShare {
 		r.duration *= tailRunFactor
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -88,13 +88,18 @@
 	m.startRun(now, e, p.info.Ref, s, out)
 }
 
-// handleOffer uses the offered slot for the most urgent task that fits, or
-// declines the offer.
+// handleOffer uses the offered slot for the most urgent task that fits, or declines the
+// offer. It declines too if that task is less urgent than those for which the holder
+// offers the slot, which may know of others.
 func (m *Machine) handleOffer(now time.Time, p *peer, o message.Offer, out *Output) {
+	kind, ok := m.shares.OfferedKind(o.Service, p.info.Ref)
 	for _, j := range m.queue {
 		if j.Queue.Service != o.Service || p.closed {
 			continue
 		}
+		if ok && kind.Compare(j.kind()) < 0 {
+			break // a more urgent task of another home may fit
+		}
 		for i, t := range j.waiting {
 			if m.waitsForReliable(now, t) {
 				continue
--- a/pool/sharing.go
+++ b/pool/sharing.go
@@ -25,8 +25,12 @@
 			continue
 		}
 		receivers := m.receivers(now, c.Service)
-		for _, w := range c.Backlog {
-			m.shares.Divide(now, kindOf(c.Service, w), w.Share, receivers)
+		for i, w := range c.Backlog {
+			k, shares := kindOf(c.Service, w), w.Share
+			if i == 0 && w.Slack < sharing.Timeout && m.lessUrgentWait(now, k) {
+				shares *= sharing.HoldersPerTask(receivers)
+			}
+			m.shares.Divide(now, k, shares, receivers)
 		}
 	}
 }
@@ -36,6 +40,24 @@
 	return sharing.Kind{Service: service, Priority: w.Priority, Late: w.Late}
 }
 
+// lessUrgentWait reports whether less urgent tasks of the service wait here or, as far as
+// is known, at a peer.
+func (m *Machine) lessUrgentWait(now time.Time, k sharing.Kind) bool {
+	lessUrgent := func(w message.WaitingTasks) bool { return w.Tasks > 0 && k.Compare(kindOf(k.Service, w)) < 0 }
+	if slices.ContainsFunc(m.queue, func(j *homeJob) bool { return j.Queue.Service == k.Service && k.Compare(j.kind()) < 0 }) {
+		return true
+	}
+	return slices.ContainsFunc(m.sortedPeers, func(p *peer) bool {
+		c := p.capacity(k.Service)
+		return c != nil && now.Sub(p.capacitiesAt) <= maxReportAge && slices.ContainsFunc(c.Backlog, lessUrgent)
+	})
+}
+
+// kind returns the kind of the job's tasks.
+func (j *homeJob) kind() sharing.Kind {
+	return sharing.Kind{Service: j.Queue.Service, Priority: j.Queue.Priority, Late: j.late}
+}
+
 // waitingTasks returns the tasks of that kind in a backlog, or nil.
 func waitingTasks(backlog []message.WaitingTasks, k sharing.Kind) *message.WaitingTasks {
 	for i := range backlog {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -94,6 +94,8 @@
 		// onRefusal is called when a job is refused as not run; nil means it is
 		// not.
 		onRefusal func(*callerJob, *fault.Error)
+		// onStart is called before a run starts; nil means it is not.
+		onStart func(e *fakeEndpoint, s Start)
 		// viewMessages counts the messages with views of data centres, and
 		// onViewMessage is called for each; nil means it is not.
 		viewMessages  int
--- a/sharing/shares.go
+++ b/sharing/shares.go
@@ -19,6 +19,9 @@
 	// passOverTime is how long others come before a holder that served nothing in
 	// Timeout, or whose offer was of no use: several round trips.
 	passOverTime = 25 * time.Millisecond
+	// slotsPerTask is how many slots the holders that share a task should have
+	// together, so that one of them becomes free within a few milliseconds.
+	slotsPerTask = 40
 	// shareSteps is in how many steps the shares of a holder are compared with
 	// its slots. Within a step, holders take turns.
 	shareSteps = 4
@@ -92,8 +95,23 @@
 	return &Shares{home: home, open: map[Kind]map[instance.Ref]*share{}, turns: map[turnKey]*turn{}}
 }
 
-// Divide makes the shares of a kind of waiting tasks add up to their number, as
-// far as there are receivers.
+// HoldersPerTask returns with how many of the receivers each task should be shared. If
+// it were one, tasks would wait for the slots of a few holders while others start less
+// urgent ones. Each further one costs offers that are of no use.
+func HoldersPerTask(receivers []Receiver) int {
+	slots := 0
+	for _, r := range receivers {
+		slots += r.Slots
+	}
+	if slots == 0 {
+		return 1
+	}
+	mean := float64(slots) / float64(len(receivers))
+	return min(max(int(math.Round(slotsPerTask/mean)), 1), len(receivers))
+}
+
+// Divide makes the shares of a kind of waiting tasks add up to a number of tasks, as
+// far as there are receivers. A task that several holders share counts once for each.
 func (s *Shares) Divide(now time.Time, k Kind, tasks int, receivers []Receiver) {
 	open := s.open[k]
 	if open == nil {
@@ -223,6 +241,13 @@
 	}
 }
 
+// OfferedKind returns the kind of tasks for which a holder makes its next offer: the most
+// urgent of which it knows a share. ok is false if it knows none.
+func (s *Shares) OfferedKind(service string, ref instance.Ref) (k Kind, ok bool) {
+	k, o := s.mostUrgent(service, ref, func(o *share) int { return o.known })
+	return k, o != nil
+}
+
 // mostUrgent returns the most urgent share of a holder that has tasks, as counted by the
 // given function; nil if there is none.
 func (s *Shares) mostUrgent(service string, ref instance.Ref, tasks func(*share) int) (of Kind, at *share) {
--- a/sharing/shares_test.go
+++ b/sharing/shares_test.go
@@ -240,7 +240,12 @@
 	receivers := receiversWith(10, 10)
 	s.Divide(sharesStart, testKey, 4, receivers)
 	s.Sent(receivers[0].Ref)
+	k, ok := s.OfferedKind("s", receivers[0].Ref)
+	is.True(ok)
+	is.Equal(k, testKey)
 	s.Offered(sharesStart, "s", receivers[0].Ref, false)
+	_, ok = s.OfferedKind("s", receivers[0].Ref)
+	is.True(!ok)
 	s.Divide(sharesStart, testKey, 4, receivers)
 	is.Equal(s.sharesOf(testKey, receivers), []int{0, 4})
 }
@@ -280,3 +285,27 @@
 	s.Divide(sharesStart, testKey, 9, nil)
 	is.Equal(sum(s.sharesOf(testKey, receivers)), 0)
 }
+
+// TestHoldersPerTask checks that a task is shared with the more holders the fewer slots
+// each of them has.
+func TestHoldersPerTask(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name  string
+		slots []int
+		want  int
+	}{
+		{"no receiver", nil, 1},
+		{"one receiver", []int{3}, 1},
+		{"few slots", []int{4, 4, 4}, 3},
+		{"ten slots each", []int{10, 10, 10, 10, 10, 10, 10, 10}, 4},
+		{"uneven", []int{2, 18, 2, 18, 2, 18, 2, 18}, 4},
+		{"many slots", []int{22, 22, 22, 22}, 2},
+		{"very many slots", []int{200, 200}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(HoldersPerTask(receiversWith(tt.slots...)), tt.want)
+		})
+	}
+}
