--- a/pool/history.go
+++ b/pool/history.go
@@ -12,11 +12,24 @@
 // maxHistory is the maximum number of tasks in a log line.
 const maxHistory = 16
 
-// history returns a summary of a job for its log line: its queue, its response
-// time and goal, and the last run of each task with its holder and endpoint.
+// description returns what a job asks for, for its log line: its queue, its number of
+// tasks, the most cores that one of them needs, the estimate of its longest chain and its
+// goal. With these, package reference can serve the jobs of a log.
+func (j *homeJob) description() string {
+	tasks, cores := 0, 0.0
+	for _, s := range j.Steps {
+		tasks += s.Tasks
+		cores = max(cores, s.Needs.Cores)
+	}
+	return fmt.Sprintf("queue=%s priority=%d tasks=%d cores=%.4g estimate=%s goal=%s",
+		j.Queue.Name, j.Queue.Priority, tasks, cores, milliseconds(longestChain(j.Steps)), milliseconds(j.goal.Sub(j.arrived)))
+}
+
+// history returns a summary of a job for its log line: its description, its response
+// time, and the last run of each task with its holder and endpoint.
 func (j *homeJob) history(now time.Time) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "queue=%s took=%s goal=%s", j.Queue.Name, milliseconds(now.Sub(j.arrived)), milliseconds(j.goal.Sub(j.arrived)))
+	fmt.Fprintf(&b, "%s took=%s", j.description(), milliseconds(now.Sub(j.arrived)))
 	switch {
 	case j.late:
 		fmt.Fprintf(&b, " late waited=%s", milliseconds(j.waited))
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -150,7 +150,7 @@
 	}
 	h := m.newJob(now, call, j)
 	if refusal, load := m.admit(now, h); refusal != nil {
-		out.log(event.JobRefused, j.ID, refusal.Error()+"; queue="+j.Queue.Name+" "+load.String())
+		out.log(event.JobRefused, j.ID, refusal.Error()+"; "+h.description()+" "+load.String())
 		out.Answers = append(out.Answers, Answer{Call: call, Fault: refusal})
 		return
 	}
