--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -131,9 +131,10 @@
 		health      health
 		// usableSlots is how many runs at once the judgement of the endpoint's
 		// health leaves it, and speed the learnt speed; zero while it is not
-		// active. failedShare is the share of its recent runs that failed.
-		usableSlots        int
-		speed, failedShare float64
+		// active. failedShare is the share of its recent runs that failed, and
+		// outcomes how many runs are known.
+		usableSlots, outcomes int
+		speed, failedShare    float64
 
 		// owner is who should hold the endpoint, as computed for ownerGeneration
 		// of the membership.
--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -108,8 +108,10 @@
 		// first. It includes the runs of an earlier request for the job here.
 		number   int64
 		failures int
-		// avoid are the IDs of the endpoints on which it failed.
-		avoid []string
+		// avoid are the IDs of the endpoints on which it failed, and failedAt is
+		// when it last did.
+		avoid    []string
+		failedAt time.Time
 		// declined counts the starts that a holder did not send to an endpoint,
 		// for the log.
 		declined int
@@ -317,6 +319,7 @@
 		m.completeTask(now, t, out)
 	case run.Failed:
 		t.failures++
+		t.failedAt = now
 		out.logFailure(t, u)
 		if t.failures >= max(j.Queue.Attempts, 1) {
 			t.state = done
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -111,7 +111,7 @@
 	default:
 		return
 	}
-	e.failedShare, _ = m.judge.tracker.FailedShare(e.info.ID)
+	e.failedShare, e.outcomes = m.judge.tracker.FailedShare(e.info.ID)
 	m.applyJudgement(now, out)
 }
 
@@ -215,7 +215,7 @@
 	j.speeds.Add(info, p.Speed, p.Samples)
 	j.tracker.Restore(now, info.ID, p.FailedShare, p.Outcomes, now.Add(p.EjectedFor), &j.out)
 	e.speed, _ = j.speeds.Speed(info.ID)
-	e.failedShare, _ = j.tracker.FailedShare(info.ID)
+	e.failedShare, e.outcomes = j.tracker.FailedShare(info.ID)
 	m.applyJudgement(now, out)
 }
 
@@ -230,7 +230,7 @@
 	m.profiles.released = append(m.profiles.released, p)
 	m.judge.tracker.Forget(e.info.ID)
 	m.judge.speeds.Remove(e.info.ID)
-	e.usableSlots, e.speed, e.failedShare = 0, 0, 0
+	e.usableSlots, e.speed, e.failedShare, e.outcomes = 0, 0, 0, 0
 }
 
 // queueOf returns the name under which the run times of a run are compared: its
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -97,6 +97,12 @@
 			rest = append(rest, t)
 			continue
 		}
+		if m.waitsForReliable(now, t) {
+			if !m.placeReliably(now, t, out) {
+				rest = append(rest, t)
+			}
+			continue
+		}
 		if m.placeTask(now, t, out) {
 			continue
 		}
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -101,6 +101,9 @@
 			break // a more urgent task of another home may fit
 		}
 		for i, t := range j.waiting {
+			if m.waitsForReliable(now, t) {
+				continue
+			}
 			s := m.startRequest(t)
 			if !fitsWithin(s.Needs, o.Needs) || j.Steps[t.step].Spread > 0 || s.Requires != "" {
 				continue
