--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -43,8 +43,6 @@
 			Reserved: v.Offers.Reserved, SlotTime: v.Offers.SlotTime,
 		},
 		EndpointsLost:    metric.EndpointLosses(v.Losses),
-		ProfilesSent:     v.ProfilesSent,
-		ProfilesReceived: v.ProfilesReceived,
 	}
 	for _, d := range v.DataCentres {
 		m := metric.DataCentreView{DataCentre: d.DataCentre, Age: d.Age(time.Now())}
