--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -119,8 +119,8 @@
 // normalRate returns the share of failures at the healthy endpoints of e's data
 // centre, without the outcomes that count in e's evidence.
 func (e *entry) normalRate() float64 {
-	failed := e.dc.current.failed + e.dc.previous.failed - e.failures
-	finished := e.dc.current.finished + e.dc.previous.finished - e.failures - e.successes
+	failed := e.dc.current.failed + e.dc.previous.failed + e.dc.reported.failed - e.failures
+	finished := e.dc.current.finished + e.dc.previous.finished + e.dc.reported.finished - e.failures - e.successes
 	rate := (float64(max(failed, 0)) + minNormalRate*priorOutcomes) / (float64(max(finished, 0)) + priorOutcomes)
 	return min(max(rate, minNormalRate), failingRate)
 }
@@ -133,6 +133,9 @@
 		}
 		d.windowStart = now
 	}
+	if now.Sub(d.reportedAt) >= 2*rateWindow {
+		d.reported = outcomeCounts{}
+	}
 	d.current.failed += failed
 	d.current.finished++
 }
--- a/endpoint/shortage.go
+++ b/endpoint/shortage.go
@@ -20,6 +20,8 @@
 	maxPartialShare = 0.8
 	partialOutcomes = 8
 	maxStreak       = 6
+	// maxReportedOutcomes bounds the weight of the outcomes that peers report.
+	maxReportedOutcomes = 200
 )
 
 // SetShortage tells the tracker whether there is less room than work. If there
@@ -82,9 +84,9 @@
 	}
 }
 
-// Restore gives a newly tracked endpoint what was known when it was last tracked: its
-// share of failures, and that it stays ejected until the given time, which may have
-// passed.
+// Restore gives a newly tracked endpoint what an earlier holder has learnt: its
+// share of failures, and that it stays ejected until the given time, which may
+// have passed.
 func (t *Tracker) Restore(now time.Time, id string, failedShare float64, outcomes int, until time.Time, out *Output) {
 	e, ok := t.byID[id]
 	if !ok || e.outcomes > 0 {
@@ -99,10 +101,22 @@
 	e.ejections, e.lastEjected = 1, now
 	e.dc.ejected++
 	t.timed = append(t.timed, e)
-	out.Events = append(out.Events, event.Record{Kind: event.EndpointEjected, Subject: id, Detail: "as when it was last held here"})
+	out.Events = append(out.Events, event.Record{Kind: event.EndpointEjected, Subject: id, Detail: "as its earlier holder reported"})
 	t.updateUsable(e, out)
 }
 
+// SetReported replaces the outcomes that peers have reported for the endpoints
+// of a data centre which this instance does not track.
+func (t *Tracker) SetReported(now time.Time, dataCentre string, failed, finished int) {
+	if finished <= 0 || failed < 0 || failed > finished {
+		return
+	}
+	scale := min(1, float64(maxReportedOutcomes)/float64(finished))
+	d := t.dataCentre(dataCentre)
+	d.reported = outcomeCounts{failed: int(scale * float64(failed)), finished: int(scale * float64(finished))}
+	d.reportedAt = now
+}
+
 // EjectedUntil returns until when the endpoint is ejected; zero if it is not.
 func (t *Tracker) EjectedUntil(id string) time.Time {
 	if e, ok := t.byID[id]; ok && e.health == Ejected {
--- a/endpoint/shortage_test.go
+++ b/endpoint/shortage_test.go
@@ -150,3 +150,30 @@
 	share, _ := tr.FailedShare(list[0].ID)
 	is.True(share < minPartialShare)
 }
+
+// TestReportedOutcomes checks that failures that peers report count as normal
+// here, and that impossible numbers are ignored.
+func TestReportedOutcomes(t *testing.T) {
+	tests := []struct {
+		name             string
+		failed, finished int
+		usable           bool
+	}{
+		{"nothing", 0, 0, false},
+		{"peers' endpoints fail as much", 60, 100, true},
+		{"more failures than runs", 200, 100, false},
+		{"negative", -1, 100, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tr, list := shortageTracker(8)
+			tr.SetReported(epoch, list[0].DataCentre, tt.failed, tt.finished)
+			now := epoch
+			for range 5 {
+				now = end(tr, now, list, list[0].ID, Failed)
+			}
+			is.Equal(tr.Usable(now, list[0].ID) > 0, tt.usable)
+		})
+	}
+}
--- a/endpoint/tracker.go
+++ b/endpoint/tracker.go
@@ -157,7 +157,11 @@
 		// rate window that began at windowStart and in the one before.
 		current, previous outcomeCounts
 		windowStart       time.Time
-		ejected           int
+		// reported counts the outcomes at endpoints of other instances, at
+		// reportedAt.
+		reported   outcomeCounts
+		reportedAt time.Time
+		ejected    int
 		// lastWithheldEvent is when event.EjectionWithheld was last emitted.
 		lastWithheldEvent time.Time
 	}
--- a/endpoint/window.go
+++ b/endpoint/window.go
@@ -47,6 +47,15 @@
 	return float64(w.sorted[len(w.sorted)/2])
 }
 
+// quantile returns the sample at the share q of the sorted ones, or zero if the
+// window is empty.
+func (w *window) quantile(q float64) float64 {
+	if len(w.sorted) == 0 {
+		return 0
+	}
+	return float64(w.sorted[min(int(q*float64(len(w.sorted))), len(w.sorted)-1)])
+}
+
 // search returns the first index in sorted whose sample is not below v. It runs
 // for every answer; the generic binary search costs twice as much.
 func (w *window) search(v float32) int {
--- a/message/pool.go
+++ b/message/pool.go
@@ -116,8 +116,40 @@
 		Capacities []Capacity
 	}
 
-	// Profiles is sent by instances of earlier releases and ignored.
-	Profiles struct{}
+	// Profiles carries what the sender has learnt of endpoints and queues. The
+	// receiver merges it with its own observations.
+	Profiles struct {
+		Endpoints []EndpointProfile
+		Queues    []QueueProfile
+	}
+
+	// EndpointProfile is what is known of one boot of an endpoint.
+	EndpointProfile struct {
+		ID string
+		// StartedAt is when the endpoint started; zero if unknown.
+		StartedAt time.Time
+		// Speed is the expected run time divided by the observed one, from the
+		// number Samples of runs.
+		Speed   float64
+		Samples int
+		// FailedShare is the share of failures among the number Outcomes of
+		// recent runs.
+		FailedShare float64
+		Outcomes    int
+		// EjectedFor is how much longer the endpoint gets no work; zero if it is
+		// not ejected.
+		EjectedFor time.Duration
+	}
+
+	// QueueProfile is how the run times of a queue's tasks compare to their
+	// estimates at an endpoint of speed 1.
+	QueueProfile struct {
+		Queue   string
+		Samples int
+		// MedianRatio and TailRatio are the median and the 95th percentile of the
+		// run time divided by the estimate.
+		MedianRatio, TailRatio float64
+	}
 
 	// EndpointLosses carries what the sender knows of endpoints that were lost with
 	// runs. The receiver merges it with what it knows itself.
--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -46,6 +46,8 @@
 		EndpointStates map[string]int
 		// EndpointsLost counts the held endpoints that were lost with runs.
 		EndpointsLost EndpointLosses
+		// ProfilesSent and ProfilesReceived count the messages with profiles.
+		ProfilesSent, ProfilesReceived int
 		// Evacuated are the data centres that are evacuated.
 		Evacuated []string
 		Peers     Peers
@@ -154,6 +156,8 @@
 	dst.add(endpointLosses, float64(s.EndpointsLost.Suspected), "suspected")
 	dst.add(endpointLosses, float64(s.EndpointsLost.Proved), "proved")
 	dst.add(endpointLosses, float64(s.EndpointsLost.Withdrawn), "withdrawn")
+	dst.add(profileMessages, float64(s.ProfilesSent), "sent")
+	dst.add(profileMessages, float64(s.ProfilesReceived), "received")
 	dst.addPeers(s.Peers)
 	for _, dc := range s.Evacuated {
 		dst.add(evacuatedDataCentres, 1, dc)
--- a/metric/table.go
+++ b/metric/table.go
@@ -36,6 +36,7 @@
 	openJobs
 	jobMemory
 	heldRuns
+	profileMessages
 	endpointLosses
 	evacuatedDataCentres
 	offersSent
@@ -113,6 +114,7 @@
 	jobMemory:            {"lovagecrank_job_memory_bytes", gauge, "bytes", []string{"state"}, "On the platform: memory for the bodies and open jobs of callers, as estimated from their sizes, by state: used or limit.", "If used nears limit, jobs are refused with LC1008: look for jobs of many tasks, or give the instances more memory."},
 	heldRuns:             {"lovagecrank_held_runs", gauge, "runs", nil, "On the platform: runs on the endpoints that this instance holds.", noAction},
 	endpointLosses:       {"lovagecrank_endpoint_losses_total", counter, "endpoints", []string{"state"}, "On the platform: endpoints that this instance held and that were lost with runs, by state: suspected counts all, proved those that have started again, withdrawn those that were only silent.", "If proved ones rise, look in the log at LC2086 for tasks that several of them have in common. If withdrawn ones rise, check the network to the endpoints."},
+	profileMessages:      {"lovagecrank_profile_messages_total", counter, "messages", []string{"direction"}, "On the platform: messages with what was learnt of endpoints and queues, sent and received.", noAction},
 	evacuatedDataCentres: {"lovagecrank_evacuated_data_centres", gauge, "1", []string{"data_centre"}, "On the platform: 1 for each data centre whose endpoints get no work at an operator's request, as this instance knows it.", "All instances show the same within 5 s of a request; if one lags behind, check its links to the platform and to its peers. See events LC2077 and LC2078."},
 	offersSent:           {"lovagecrank_offers_total", counter, "offers", nil, "On the platform: offers of free slots to instances with waiting tasks.", noAction},
 	offersEnded:          {"lovagecrank_offers_ended_total", counter, "offers", []string{"outcome"}, "On the platform: offers that have ended by outcome: taken, declined, or expired if the other instance was lost or did not answer in time.", "If fewer than five of six are taken, instances offer more slots than tasks wait, or the tasks need a label or more room than the offered slots have."},
--- a/peer/pool_decode.go
+++ b/peer/pool_decode.go
@@ -52,7 +52,7 @@
 	case *wire.Message_DataCentreViews:
 		return decodeViews(b.DataCentreViews)
 	case *wire.Message_Profiles:
-		return message.Profiles{}, nil
+		return decodeProfiles(b.Profiles)
 	case *wire.Message_EndpointLosses:
 		return decodeLosses(b.EndpointLosses)
 	}
@@ -207,6 +207,31 @@
 	return b, nil
 }
 
+func decodeProfiles(w *wire.Profiles) (message.Body, error) {
+	b := message.Profiles{}
+	for _, e := range w.GetEndpoints() {
+		err := errors.Join(checkName(e.GetId()), checkAmount(e.GetSpeed()), checkCount(e.GetSamples()), checkAmount(e.GetFailedShare()), checkCount(e.GetOutcomes()))
+		if err != nil {
+			return nil, err
+		}
+		profile := message.EndpointProfile{
+			ID: e.GetId(), Speed: e.GetSpeed(), Samples: int(e.GetSamples()), FailedShare: min(e.GetFailedShare(), 1), Outcomes: int(e.GetOutcomes()),
+			EjectedFor: max(decodeDuration(e.GetEjectedForNs()), 0),
+		}
+		if e.GetBornMs() > 0 {
+			profile.StartedAt = time.UnixMilli(e.GetBornMs())
+		}
+		b.Endpoints = append(b.Endpoints, profile)
+	}
+	for _, q := range w.GetQueues() {
+		if err := errors.Join(checkName(q.GetQueue()), checkCount(q.GetSamples()), checkAmount(q.GetMedianRatio()), checkAmount(q.GetTailRatio())); err != nil {
+			return nil, err
+		}
+		b.Queues = append(b.Queues, message.QueueProfile{Queue: q.GetQueue(), Samples: int(q.GetSamples()), MedianRatio: q.GetMedianRatio(), TailRatio: q.GetTailRatio()})
+	}
+	return b, nil
+}
+
 // checkAmount checks a number that is not negative and not larger than any
 // count. It also excludes NaN.
 func checkAmount(n float64) error {
--- a/peer/pool_encode.go
+++ b/peer/pool_encode.go
@@ -52,6 +52,8 @@
 		w.Body = &wire.Message_ListsRequest{ListsRequest: &wire.ListsRequest{}}
 	case message.DataCentreViews:
 		w.Body = &wire.Message_DataCentreViews{DataCentreViews: encodeViews(b)}
+	case message.Profiles:
+		w.Body = &wire.Message_Profiles{Profiles: encodeProfiles(b)}
 	case message.EndpointLosses:
 		w.Body = &wire.Message_EndpointLosses{EndpointLosses: encodeLosses(b)}
 	default:
@@ -133,6 +135,28 @@
 	return w
 }
 
+func encodeProfiles(b message.Profiles) *wire.Profiles {
+	w := &wire.Profiles{}
+	for _, e := range b.Endpoints {
+		item := &wire.EndpointProfile{
+			Id:           e.ID,
+			Speed:        e.Speed,
+			Samples:      int32(e.Samples),
+			FailedShare:  e.FailedShare,
+			Outcomes:     int32(e.Outcomes),
+			EjectedForNs: int64(e.EjectedFor),
+		}
+		if !e.StartedAt.IsZero() {
+			item.BornMs = e.StartedAt.UnixMilli()
+		}
+		w.Endpoints = append(w.Endpoints, item)
+	}
+	for _, q := range b.Queues {
+		w.Queues = append(w.Queues, &wire.QueueProfile{Queue: q.Queue, Samples: int32(q.Samples), MedianRatio: q.MedianRatio, TailRatio: q.TailRatio})
+	}
+	return w
+}
+
 func encodeLists(b message.Lists) *wire.Lists {
 	w := &wire.Lists{}
 	for _, i := range b.Instances {
--- a/pool/cold.go
+++ b/pool/cold.go
@@ -24,10 +24,19 @@
 	r.cold = true
 	r.estimate = e.lifetime.runTime(now, r.work)
 	if !r.startedAt.IsZero() {
-		r.scheduleOverdue(r.startedAt)
+		r.scheduleOverdue(r.startedAt, 1/max(e.speed, minScoredSpeed))
 	}
 }
 
+// judgedEstimate returns the estimate against which the endpoint is judged by the run;
+// zero if it is not, since the endpoint was cold.
+func (r *heldRun) judgedEstimate() time.Duration {
+	if r.cold {
+		return 0
+	}
+	return r.estimate
+}
+
 // backOffStalled makes the endpoint get no work for a while because of a stalled run,
 // unless the endpoint was cold.
 func (e *endpointState) backOffStalled(now time.Time, r *heldRun) {
--- a/pool/endpoint_list.go
+++ b/pool/endpoint_list.go
@@ -115,6 +115,6 @@
 		}
 		m.releaseEndpoint(now, e)
 		delete(m.endpoints, e.info.ID)
-		delete(m.judge.released, e.info.ID)
+		m.forgetProfile(e.info.ID)
 	}
 }
--- a/pool/endpoint_log.go
+++ b/pool/endpoint_log.go
@@ -117,8 +117,8 @@
 	switch {
 	case !e.loggedEjection && (h.backoffs >= minLoggedBackoffs || h.refusals >= minLoggedRefusals):
 		e.loggedEjection = true
-		out.log(event.EndpointEjected, e.info.ID, fmt.Sprintf("no work for %s after %d backoffs in a row; %d refused and %d unanswered starts in a row",
-			milliseconds(max(h.backoffUntil.Sub(now), 0)), h.backoffs, h.refusals, h.unanswered))
+		out.log(event.EndpointEjected, e.info.ID, fmt.Sprintf("no work for %s after %d backoffs in a row; %d refused and %d unanswered starts in a row, speed %.2f",
+			milliseconds(max(h.backoffUntil.Sub(now), 0)), h.backoffs, h.refusals, h.unanswered, e.speed))
 	case e.loggedEjection && h.backoffs == 0 && h.refusals == 0:
 		e.loggedEjection = false
 		out.log(event.EndpointReadmitted, e.info.ID, "a run was successful")
--- a/pool/endpoint_state.go
+++ b/pool/endpoint_state.go
@@ -130,10 +130,11 @@
 		isolatedFor string
 		health      health
 		// usableSlots is how many runs at once the judgement of the endpoint's
-		// health leaves it; zero while it is not active. failedShare is the share of
-		// its recent runs that failed, and outcomes how many runs are known.
+		// health leaves it, and speed the learnt speed; zero while it is not
+		// active. failedShare is the share of its recent runs that failed, and
+		// outcomes how many runs are known.
 		usableSlots, outcomes int
-		failedShare           float64
+		speed, failedShare    float64
 
 		// owner is who should hold the endpoint, as computed for ownerGeneration
 		// of the membership.
@@ -153,6 +154,9 @@
 		// the run.
 		work, estimate time.Duration
 		cold           bool
+		// queue is the name under which run times are compared: the queue if it
+		// is known here, else the service.
+		queue string
 		// jobQueue is the name of the queue of the task's job; empty if it is not
 		// known. suspected reports that an endpoint had been lost with the task
 		// before.
--- a/pool/machine.go
+++ b/pool/machine.go
@@ -172,6 +172,7 @@
 		// suspects are the waiting tasks with which endpoints were lost and that are
 		// not in their jobs' queues, by name.
 		suspects map[string]*homeTask
+		profiles profilesState
 		views    viewState
 		refusals refusals
 		routes   routeChoice
@@ -207,6 +208,7 @@
 		losses:        crash.NewLedger(),
 		suspects:      map[string]*homeTask{},
 		judge:         newJudge(now, xxhash.Sum64String(cfg.Self.ID)),
+		profiles:      newProfilesState(now),
 		views:         viewState{reports: map[instance.Ref]receivedReport{}},
 		refusals:      refusals{byJob: map[string]time.Time{}},
 	}
@@ -271,6 +273,7 @@
 	m.maintainJudge(now, out)
 	m.losses.Expire(now)
 	m.endIsolations()
+	m.broadcastProfiles(now, out)
 	m.refusals.expire(now)
 	m.forgetReports()
 	m.reassignNeeded = true
--- a/pool/peers.go
+++ b/pool/peers.go
@@ -76,6 +76,7 @@
 	m.status.newPeers = append(m.status.newPeers, info.Ref)
 	m.freeSlots.lastSent = message.FreeSlots{} // the new peer has received nothing
 	m.sendExpectedRuns(info.Ref, out)
+	m.introduceProfiles(now, p, out)
 	m.introduceLosses(now, p, out)
 	out.log(event.PeerJoined, info.ID, detail)
 	m.advance(now, out)
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -13,6 +13,7 @@
 
 const (
 	// loadWeight makes the load decide between endpoints of similar slowdown.
+	// It is about the error of the measured slowdown.
 	loadWeight = 0.05
 	// fitWeight makes the room that a task leaves for others decide between
 	// endpoints of similar slowdown.
@@ -24,12 +25,12 @@
 	// of its data. The specification of the platform's installations gives
 	// factors of two and three; this is the larger.
 	otherRackFactor = 3
+	// minScoredSpeed is the speed at which an endpoint counts whose speed is not
+	// known or implausible.
+	minScoredSpeed = 0.1
 	// deferredReserve is the share of the slots held here that deferred jobs leave to
 	// more urgent ones, whose tasks would wait for the end of a run otherwise.
 	deferredReserve = 0.2
-	// maxQueueName is the longest name of a queue, in bytes, that is sent; a message
-	// with a much longer name would be refused.
-	maxQueueName = 200
 	// minSuccessShare is the lowest share of successful runs that counts.
 	minSuccessShare = 0.05
 )
@@ -301,9 +302,9 @@
 }
 
 // slowdown returns the expected time to success on the endpoint, divided by that
-// on a sound one in the rack of the data.
+// on a sound one of speed 1 in the rack of the data.
 func (e *endpointState) slowdown(s message.StartRun) float64 {
-	slowdown := 1 / max(1-e.failedShare, minSuccessShare)
+	slowdown := 1 / (max(e.speed, minScoredSpeed) * max(1-e.failedShare, minSuccessShare))
 	if s.Rack != "" && e.info.Rack != s.Rack {
 		slowdown *= otherRackFactor
 	}
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -22,8 +22,8 @@
 	// earlier holder. Running counts the runs on them.
 	Held, Active, Running int
 	// Ejected counts the held endpoints that get no work because their runs
-	// fail.
-	Ejected int
+	// fail. ProfilesSent and ProfilesReceived count the messages with profiles.
+	Ejected, ProfilesSent, ProfilesReceived int
 	// Losses counts the held endpoints that were lost with runs.
 	Losses LossCounts
 	// Evacuated are the data centres whose endpoints get no work at an operator's
@@ -61,6 +61,7 @@
 		v.Running += len(e.runs)
 		v.countState(now, e)
 	}
+	v.ProfilesSent, v.ProfilesReceived = m.profiles.sentMessages, m.profiles.receivedMessages
 	for i, p := range m.sortedPeers {
 		v.Connected = append(v.Connected, p.info.Ref)
 		if p.info.DataCentre != m.cfg.Self.DataCentre {
--- a/pool/receive.go
+++ b/pool/receive.go
@@ -36,6 +36,8 @@
 		m.handleRunUpdate(now, msg.From, b, out)
 	case message.Offer:
 		m.handleOffer(now, p, b, out)
+	case message.Profiles:
+		m.handleProfiles(now, p, b)
 	case message.EndpointLosses:
 		m.handleLosses(now, p, b, out)
 	case message.Decline:
--- a/pool/runs.go
+++ b/pool/runs.go
@@ -16,7 +16,7 @@
 
 // startRun starts a run on an endpoint with enough free capacity.
 func (m *Machine) startRun(now time.Time, e *endpointState, home instance.Ref, s message.StartRun, out *Output) {
-	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, requires: s.Requires, work: s.Estimate, estimate: s.Estimate, jobQueue: s.Queue, suspected: m.losses.Suspected(s.Run.Task), sentAt: now, notifyStart: s.NotifyStart}
+	r := &heldRun{ref: s.Run, home: home, needs: s.Needs, requires: s.Requires, work: s.Estimate, estimate: s.Estimate, queue: m.queueOf(s), jobQueue: s.Queue, suspected: m.losses.Suspected(s.Run.Task), sentAt: now, notifyStart: s.NotifyStart}
 	if r.suspected {
 		e.suspects++
 	}
@@ -56,7 +56,7 @@
 	case Accepted:
 		m.recordAnswer(now, e, reply.Reply)
 		r.startedAt = now
-		r.scheduleOverdue(now)
+		r.scheduleOverdue(now, m.expectedRatio(e, r.queue))
 		e.health.recordStart()
 		m.reportRun(now, e, r, run.Started, out)
 		return
@@ -211,9 +211,10 @@
 }
 
 // scheduleOverdue sets when the run counts as overdue.
-func (r *heldRun) scheduleOverdue(now time.Time) {
+func (r *heldRun) scheduleOverdue(now time.Time, slowdown float64) {
+	expected := time.Duration(max(slowdown, 1) * float64(r.estimate))
 	r.overduePollInterval = minOverdue
-	r.overduePollAt = now.Add(max(time.Duration(overdueFactor*float64(r.estimate)), r.estimate+minOverdue))
+	r.overduePollAt = now.Add(max(time.Duration(overdueFactor*float64(expected)), expected+minOverdue))
 }
 
 // overdue reports whether the run should have ended and another immediate poll
--- a/pool/views.go
+++ b/pool/views.go
@@ -344,13 +344,3 @@
 	}
 	return instance.Info{Ref: ref}, false
 }
-
-// localPeers returns the peers of the local data centre.
-func (m *Machine) localPeers() []*peer {
-	for i, p := range m.sortedPeers {
-		if p.info.DataCentre != m.cfg.Self.DataCentre {
-			return m.sortedPeers[:i]
-		}
-	}
-	return m.sortedPeers
-}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -42,7 +42,9 @@
 			Sent: v.Offers.Sent, Taken: v.Offers.Taken, Declined: v.Offers.Declined, Expired: v.Offers.Expired,
 			Reserved: v.Offers.Reserved, SlotTime: v.Offers.SlotTime,
 		},
-		EndpointsLost: metric.EndpointLosses(v.Losses),
+		EndpointsLost:    metric.EndpointLosses(v.Losses),
+		ProfilesSent:     v.ProfilesSent,
+		ProfilesReceived: v.ProfilesReceived,
 	}
 	for _, d := range v.DataCentres {
 		m := metric.DataCentreView{DataCentre: d.DataCentre, Age: d.Age(time.Now())}
