--- a/reference/queue.go
+++ b/reference/queue.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// usefulFactor is how many times its goal a job may take before its answer is of no use.
-const usefulFactor = 3
+// UsefulFactor is how many times its goal a job may take before its answer is of no use.
+const UsefulFactor = 3
 
 type (
 	// Endpoints is the installation that the queue serves.
@@ -125,7 +125,7 @@
 		q.free[r.endpoint] += r.job.Cores
 		if r.job.unfinished--; r.job.unfinished == 0 {
 			took := r.ends - q.endpoints.Idle - r.job.Arrived
-			r.job.result.Served = took <= usefulFactor*r.job.Goal
+			r.job.result.Served = took <= UsefulFactor*r.job.Goal
 			r.job.result.InGoal = took <= r.job.Goal
 		}
 		q.place(r.ends)
@@ -136,7 +136,7 @@
 func (q *queue) place(now time.Duration) {
 	q.resize(now)
 	q.waiting = slices.DeleteFunc(q.waiting, func(j *queuedJob) bool {
-		return j.unstarted == j.Tasks && now+j.Estimate > j.Arrived+usefulFactor*j.Goal
+		return j.unstarted == j.Tasks && now+j.Estimate > j.Arrived+UsefulFactor*j.Goal
 	})
 	slices.SortStableFunc(q.waiting, func(a, b *queuedJob) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(missed(a, now), missed(b, now)), cmp.Compare(a.startBy, b.startBy))
--- a/scripts/one-queue/main.go
+++ b/scripts/one-queue/main.go
@@ -20,9 +20,8 @@
 
 // tally counts the jobs of a queue as they were played and as one queue serves them.
 type tally struct {
-	jobs                           int
-	inGoal, served                 int
-	referenceInGoal, referenceServ int
+	jobs, inGoal, served             int
+	referenceInGoal, referenceServed int
 }
 
 func main() {
@@ -39,8 +38,11 @@
 	until := flag.Float64("until", 0, "second at which the last job that counts arrives; 0 for all")
 	flag.Parse()
 	changes, err := parseChanges(*endpoints)
-	if err != nil || flag.NArg() != 1 {
-		return fmt.Errorf("usage: one-queue -endpoints SECOND:NUMBER,... [flags] LOG (%v)", err)
+	if err != nil {
+		return fmt.Errorf("%w; give -endpoints as SECOND:NUMBER,...", err)
+	}
+	if flag.NArg() != 1 {
+		return fmt.Errorf("%d logs are given; give one", flag.NArg())
 	}
 	f, err := os.Open(flag.Arg(0))
 	if err != nil {
@@ -87,15 +89,15 @@
 		y := tallies[name]
 		y.jobs++
 		y.inGoal += count(j.Answered && j.Took <= j.Goal)
-		y.served += count(j.Answered && j.Took <= 3*j.Goal)
+		y.served += count(j.Answered && j.Took <= reference.UsefulFactor*j.Goal)
 		y.referenceInGoal += count(results[i].InGoal)
-		y.referenceServ += count(results[i].Served)
+		y.referenceServed += count(results[i].Served)
 	}
 	fmt.Println("priority queue: jobs; in goal, served; with one queue")
 	for _, name := range slices.Sorted(maps.Keys(tallies)) {
 		y := tallies[name]
 		n := float64(y.jobs)
-		fmt.Printf("%s: %d; %.3f, %.3f; %.3f, %.3f\n", name, y.jobs, float64(y.inGoal)/n, float64(y.served)/n, float64(y.referenceInGoal)/n, float64(y.referenceServ)/n)
+		fmt.Printf("%s: %d; %.3f, %.3f; %.3f, %.3f\n", name, y.jobs, float64(y.inGoal)/n, float64(y.served)/n, float64(y.referenceInGoal)/n, float64(y.referenceServed)/n)
 	}
 }
 
