--- a/pool/jobs.go
+++ b/pool/jobs.go
@@ -108,7 +108,9 @@
 		// first. It includes the runs of an earlier request for the job here.
 		number   int64
 		failures int
-		// failedAt is when its last failed run ended.
+		// avoid are the IDs of the endpoints on which it failed, and failedAt is
+		// when it last did.
+		avoid    []string
 		failedAt time.Time
 		// declined counts the starts that a holder did not send to an endpoint,
 		// for the log.
@@ -324,6 +326,7 @@
 			m.endJob(now, j, fault.New(fault.TaskFailed, "task %s failed %d times, last on endpoint %s", t.name, t.failures, u.Endpoint), out)
 			return
 		}
+		m.avoidFailed(t, u.Endpoint)
 		m.enqueueTask(t)
 	default:
 		m.enqueueTask(t)
--- a/pool/judgement.go
+++ b/pool/judgement.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,10 @@
 	// servicePrefix distinguishes the profile of a whole service from that of a
 	// queue.
 	servicePrefix = "service:"
+	// minOtherEndpoints is how many other endpoints must be able to run a failed
+	// task so that it avoids the one where it failed. With fewer, it could wait
+	// long for one of them.
+	minOtherEndpoints = 4
 )
 
 type (
@@ -244,6 +249,26 @@
 	return median / max(e.speed, minScoredSpeed)
 }
 
+// avoidFailed makes the next runs of a failed task avoid the endpoint, unless no
+// other one can run it.
+func (m *Machine) avoidFailed(t *homeTask, id string) {
+	if id == "" || slices.Contains(t.avoid, id) {
+		return
+	}
+	avoid := append(t.avoid, id)
+	step := t.job.Steps[t.step]
+	s := message.StartRun{Service: t.job.Queue.Service, Needs: step.Needs, Requires: step.Requires, Avoid: avoid}
+	others := 0
+	for _, e := range m.sortedEndpoints {
+		if !e.closed && !e.info.Draining && e.suits(s) {
+			others++
+		}
+	}
+	if others >= minOtherEndpoints {
+		t.avoid = avoid
+	}
+}
+
 // mayWork reports whether the judgement leaves the endpoint work, and whether it
 // gets one run at a time.
 func (e *endpointState) mayWork() (usable, single bool) {
--- a/pool/judgement_test.go
+++ b/pool/judgement_test.go
@@ -216,3 +216,27 @@
 		t.Errorf("job of plain is %s", got)
 	}
 }
+
+// TestFailedTaskAvoidsEndpoint checks that the attempts of a task are on different
+// endpoints where there are enough of them.
+func TestFailedTaskAvoidsEndpoint(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		endpoints, different int
+	}{{28, 4}, {1, 1}} {
+		sim := startSimulation(t, 1, 2, tt.endpoints)
+		c := sim.newJob(urgent, 2*time.Second, step(1, 20*time.Millisecond))
+		c.job.Spec = "fails"
+		sim.sendJob(c, 0)
+		sim.advance(2 * time.Second)
+		different := 0
+		for _, e := range sim.endpoints {
+			if e.startCount > 0 {
+				different++
+			}
+		}
+		if len(c.answers) != 1 || different < tt.different {
+			t.Errorf("%d endpoints: attempts on %d of them, %d answers", tt.endpoints, different, len(c.answers))
+		}
+	}
+}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		rest = append(rest, t)
-		if step.Spread == 0 && step.Requires == "" { // else it may be too large for some endpoints only
+		if step.Spread == 0 && step.Requires == "" && len(t.avoid) == 0 { // else it may be too large for some endpoints only
 			blocked.add(j.Queue.Service, step.Needs)
 		}
 	}
@@ -182,6 +182,7 @@
 		Requires: step.Requires,
 		Rack:     step.Rack,
 	}
+	s.Avoid = t.avoid
 	if step.Spread > 0 {
 		s.Avoid = saturatedEndpoints(j.steps[t.step], step.Spread)
 		s.NotifyStart = true // other tasks of the step need to know its endpoint
