--- a/pool/sharing_failures_test.go
+++ b/pool/sharing_failures_test.go
@@ -260,3 +260,34 @@
 	s.advance(3 * time.Second)
 	s.checkNoOffers()
 }
+
+// TestOfferForMoreUrgentTasks guards against a slot that a holder offers for urgent tasks
+// and that a home uses for a long run, while the holder knows of urgent tasks elsewhere.
+func TestOfferForMoreUrgentTasks(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name     string
+		known    sharing.Kind // of which the holder knows a share
+		declined bool
+	}{
+		{"offered for the waiting tasks", sharing.Kind{Service: "s", Priority: 0}, false},
+		{"offered for less urgent ones", sharing.Kind{Service: "s", Priority: 1}, false},
+		{"offered for more urgent ones", sharing.Kind{Service: "s", Priority: -1}, true},
+		{"the holder knows no share", sharing.Kind{Service: "other"}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := startSharedTasks(t, nil)
+			m, h := s.instances[0].machine, s.instances[s.holder()].self.Ref
+			m.shares = sharing.New(m.cfg.Self.ID)
+			m.shares.Divide(s.now, tt.known, 1, []sharing.Receiver{{Ref: h, Slots: 8}})
+			m.shares.Sent(h)
+			var out Output
+			m.handleOffer(s.now, m.peers[h], message.Offer{Number: 1, Service: "s", Needs: needs(16)}, &out)
+			is.Equal(len(out.Messages), 1)
+			_, declined := out.Messages[0].Body.(message.Decline)
+			is.Equal(declined, tt.declined)
+		})
+	}
+}
