--- a/scripts/one-queue/main.go
+++ b/scripts/one-queue/main.go
@@ -39,7 +39,7 @@
 	flag.Parse()
 	changes, err := parseChanges(*endpoints)
 	if err != nil {
-		return fmt.Errorf("%w; give -endpoints as SECOND:NUMBER,...", err)
+		return fmt.Errorf("%w; give -endpoints as SECOND:NUMBER pairs", err)
 	}
 	if flag.NArg() != 1 {
 		return fmt.Errorf("%d logs are given; give one", flag.NArg())
