--- a/reference/log.go
+++ b/reference/log.go
@@ -28,7 +28,7 @@
 		// Took is how long it took, and Answered reports that it is complete.
 		Took     time.Duration
 		Answered bool
-		// Run is the run time of its task that started last; zero if unknown.
+		// Run is about the longest run time of its tasks; zero if unknown.
 		Run time.Duration
 	}
 
--- a/reference/queue.go
+++ b/reference/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 		Changes []Change
 		// Idle is how long a slot stands idle after each run.
 		Idle time.Duration
+		// Deviation is the standard deviation of the run times of a job's tasks,
+		// relative to their mean.
+		Deviation float64
 	}
 
 	// Change is a change of the number of endpoints.
@@ -51,7 +55,7 @@
 	queuedJob struct {
 		Job
 		result *Result
-		// run is the run time of each task, and startBy the latest start by the
+		// run is the mean run time of its tasks, and startBy the latest start by the
 		// estimate.
 		run     time.Duration
 		startBy time.Duration
@@ -86,11 +90,11 @@
 // queue, relative to the estimate.
 func Serve(jobs []Job, endpoints Endpoints, seed uint64) []Result {
 	q := &queue{endpoints: endpoints, rng: rand.New(rand.NewPCG(seed, 0))}
-	ratios := runRatios(jobs)
+	ratios := runRatios(jobs, endpoints.Deviation)
 	results := make([]Result, len(jobs))
 	for i, j := range jobs {
 		q.advance(j.Arrived)
-		run := j.Run
+		run := time.Duration(float64(j.Run) / expectedMax(j.Tasks, endpoints.Deviation))
 		if list := ratios[j.Queue]; run <= 0 && len(list) > 0 {
 			run = time.Duration(list[q.rng.IntN(len(list))] * float64(j.Estimate))
 		} else if run <= 0 {
@@ -107,12 +111,19 @@
 	return results
 }
 
-// runRatios returns the known run times by queue, divided by the estimates.
-func runRatios(jobs []Job) map[string][]float64 {
+// expectedMax returns the expected longest run time of n tasks, divided by their mean, if
+// the run times are about normally distributed (Blom's approximation).
+func expectedMax(n int, deviation float64) float64 {
+	share := (float64(n) - 0.375) / (float64(n) + 0.25)
+	return 1 + deviation*math.Sqrt2*math.Erfinv(2*share-1)
+}
+
+// runRatios returns the known mean run times by queue, divided by the estimates.
+func runRatios(jobs []Job, deviation float64) map[string][]float64 {
 	ratios := map[string][]float64{}
 	for _, j := range jobs {
 		if j.Run > 0 && j.Estimate > 0 {
-			ratios[j.Queue] = append(ratios[j.Queue], float64(j.Run)/float64(j.Estimate))
+			ratios[j.Queue] = append(ratios[j.Queue], float64(j.Run)/expectedMax(j.Tasks, deviation)/float64(j.Estimate))
 		}
 	}
 	return ratios
@@ -190,5 +201,6 @@
 	j.unstarted--
 	q.free[e] -= j.Cores
 	j.result.LastStart = now - j.Arrived
-	heap.Push(&q.runs, run{now + j.run + q.endpoints.Idle, j, e})
+	took := time.Duration(float64(j.run) * max(1+q.endpoints.Deviation*q.rng.NormFloat64(), 0))
+	heap.Push(&q.runs, run{now + took + q.endpoints.Idle, j, e})
 }
--- a/reference/queue_test.go
+++ b/reference/queue_test.go
@@ -82,3 +82,16 @@
 	_, err := ReadLog(strings.NewReader(`0.2 edge-1 code=LC2069 subject=a detail="complete; queue=q priority=1 took=150ms"`))
 	is.New(t).True(err != nil)
 }
+
+// TestExpectedMax checks the expected maximum of normal draws against the known values.
+func TestExpectedMax(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		n    int
+		want float64 // for a deviation of one
+	}{{1, 1}, {2, 1.564}, {8, 2.424}}
+	for _, tt := range tests {
+		got := expectedMax(tt.n, 1)
+		is.New(t).True(got > tt.want-0.03 && got < tt.want+0.03)
+	}
+}
--- a/scripts/one-queue/main.go
+++ b/scripts/one-queue/main.go
@@ -35,6 +35,7 @@
 	cores := flag.Float64("cores", 16, "cores of an endpoint")
 	endpoints := flag.String("endpoints", "", "numbers of endpoints, each with the second from which on it holds, as 0:48,12.7:43")
 	idle := flag.Duration("idle", 3*time.Millisecond, "time for which a slot stands idle after a run")
+	deviation := flag.Float64("deviation", 0.15, "standard deviation of the run times of a job's tasks, relative to their mean")
 	until := flag.Float64("until", 0, "second at which the last job that counts arrives; 0 for all")
 	flag.Parse()
 	changes, err := parseChanges(*endpoints)
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	results := reference.Serve(jobs, reference.Endpoints{Cores: *cores, Changes: changes, Idle: *idle}, 1)
+	results := reference.Serve(jobs, reference.Endpoints{Cores: *cores, Changes: changes, Idle: *idle, Deviation: *deviation}, 1)
 	report(jobs, results, time.Duration(*until*float64(time.Second)))
 	return nil
 }
