--- a/pool/offers.go
+++ b/pool/offers.go
@@ -97,7 +97,7 @@
 			if w.Share <= 0 || !fitsWithin(w.Smallest, room) {
 				continue
 			}
-			if best == nil || cmp.Or(compareBool(w.Late, best.Late), cmp.Compare(w.Priority, best.Priority), cmp.Compare(p.slack(now, w), at.slack(now, best))) < 0 {
+			if best == nil || cmp.Or(kindOf(service, *w).Compare(kindOf(service, *best)), cmp.Compare(p.slack(now, w), at.slack(now, best))) < 0 {
 				at, best = p, w
 			}
 		}
@@ -111,7 +111,7 @@
 }
 
 func moreUrgent(now time.Time, p *peer, w *message.WaitingTasks, j *homeJob) bool {
-	if c := cmp.Or(compareBool(w.Late, j.late), cmp.Compare(w.Priority, j.Queue.Priority)); c != 0 {
+	if c := kindOf(j.Queue.Service, *w).Compare(j.kind()); c != 0 {
 		return c < 0
 	}
 	return p.slack(now, w)+urgencyMargin < j.startBy.Sub(now)
