--- a/review/stand-2/recover.go
+++ b/review/stand-2/recover.go
@@ -20,10 +20,10 @@
 	coldTime = 120 * time.Second
 )
 
-// The load: a share of the jobs has tasks that need most of a worker's memory.
+// The load: jobs arrive at a fixed mean rate, whatever becomes of the earlier ones, and a
+// share of them has tasks that need most of a worker's memory.
 const (
-	callers       = 14
-	meanPause     = 100 * time.Millisecond
+	jobsPerSecond = 25
 	largeEvery    = 3
 	largeMemoryMB = 110000
 )
@@ -50,31 +50,31 @@
 		defer mu.Unlock()
 		return !endAt.IsZero() && time.Now().After(endAt)
 	}
-	for c := range callers {
-		rng := rand.New(rand.NewPCG(rand.Uint64(), uint64(c)))
-		wg.Go(func() {
-			for !over() {
-				j := s.mixedJob(rng)
+	wg.Go(func() {
+		rng := rand.New(rand.NewPCG(rand.Uint64(), 1))
+		for !over() {
+			j, n := s.mixedJob(rng), s.nodes[rng.IntN(len(s.nodes))]
+			wg.Go(func() {
 				sent := time.Now()
-				status, _, _ := s.call(http.MethodPost, s.nodes[rng.IntN(len(s.nodes))].front(), j.id, j.body(), 4*time.Second)
+				status, _, _ := s.call(http.MethodPost, n.front(), j.id, j.body(), 4*time.Second)
 				mu.Lock()
+				defer mu.Unlock()
+				c := &before
 				switch {
 				case killedAt.IsZero() || sent.Before(killedAt):
-					before.all++
-					if status == http.StatusOK {
-						before.ok++
-					}
 				case sent.After(backAt.Add(recoverBound)):
-					after.all++
-					if status == http.StatusOK {
-						after.ok++
-					}
+					c = &after
+				default:
+					return
 				}
-				mu.Unlock()
-				time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanPause)))
-			}
-		})
-	}
+				c.all++
+				if status == http.StatusOK {
+					c.ok++
+				}
+			})
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / jobsPerSecond))
+		}
+	})
 	time.Sleep(15 * time.Second)
 	first := slices.Clone(s.workers)
 	if trouble {
