--- /dev/null
+++ b/review/stand-3/observer.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+type (
+	// observer notes all runs on all workers and judges them.
+	observer struct {
+		record *record
+
+		mu      sync.Mutex
+		running map[string][]observedRun
+		// starts counts all starts, and startedAt has the times of those of each job.
+		starts    int
+		startedAt map[string][]time.Time
+		// twice has the runs that began while another run of their task went on.
+		twice []string
+	}
+
+	observedRun struct {
+		worker string
+		number int64
+		at     time.Time
+	}
+)
+
+func newObserver(r *record) *observer {
+	return &observer{record: r, running: map[string][]observedRun{}, startedAt: map[string][]time.Time{}}
+}
+
+func (o *observer) note(format string, args ...any) { o.record.write(format, args...) }
+
+// started notes a start. The label is the one that the task needs, or empty.
+func (o *observer) started(w *worker, s startOrder, _ string) {
+	now := time.Now()
+	o.record.write("start    %s run %d on %s, token %d", s.Task, s.Run, w.id, s.FencingToken)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.starts++
+	job := jobOf(s.Task)
+	o.startedAt[job] = append(o.startedAt[job], now)
+	for _, other := range o.running[s.Task] {
+		o.twice = append(o.twice, fmt.Sprintf("TWICE: %s runs at the same time as run %d on %s, since %.3f s, and as run %d on %s, since %.3f s",
+			s.Task, other.number, other.worker, o.record.at(other.at), s.Run, w.id, o.record.at(now)))
+	}
+	o.running[s.Task] = append(o.running[s.Task], observedRun{w.id, s.Run, now})
+}
+
+func (o *observer) ended(worker, task string, number int64, how string) {
+	o.record.write("end      %s run %d on %s: %s", task, number, worker, how)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var rest []observedRun
+	for _, r := range o.running[task] {
+		if r.worker != worker || r.number != number {
+			rest = append(rest, r)
+		}
+	}
+	o.running[task] = rest
+}
+
+// runsTwice returns the runs that began while another run of their task went on.
+func (o *observer) runsTwice() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string(nil), o.twice...)
+}
+
+// jobOf returns the ID of a task's job.
+func jobOf(task string) string { return task[:16] }
