--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -15,6 +15,7 @@
 // rule, one line each; an error means that the case could not run.
 var cases = map[string]func(*site, bool) ([]string, error){
 	"11": playLostHomeAndHolder,
+	"12": playCancelElsewhere,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -243,6 +243,11 @@
 // send sends a request of a client on a connection of its own. The client leaves when
 // the context ends: it closes the connection.
 func (n *node) send(ctx context.Context, method, id string, body any, deadline time.Duration) answer {
+	return n.sendOn(ctx, nil, method, id, body, deadline)
+}
+
+// sendOn is like send, on a connection that may be reset; c is nil for a usual one.
+func (n *node) sendOn(ctx context.Context, c *resettable, method, id string, body any, deadline time.Duration) answer {
 	var data []byte
 	if body != nil {
 		var err error
@@ -260,10 +265,14 @@
 	}
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	n.site.record.write("send     %s %s to %s", method, id, n.id)
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	dial := (&net.Dialer{}).DialContext
+	if c != nil {
+		dial = c.dial
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
 	resp, err := client.Do(r)
 	if err != nil {
-		n.site.record.write("no answer to %s %s at %s: %v", method, id, n.id, context.Cause(ctx))
+		n.site.record.write("no answer to %s %s at %s: %s", method, id, n.id, errors.Unwrap(err))
 		return answer{}
 	}
 	defer resp.Body.Close()
@@ -281,6 +290,7 @@
 	EstimateMs int    `json:"estimateMs"`
 	After      []int  `json:"after,omitempty"`
 	Requires   string `json:"requires,omitempty"`
+	Spread     int    `json:"antiAffinity,omitempty"`
 }
 
 // job returns the body of a job that need not be kept, whose tasks take the given time
