--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(*site, bool) ([]string, error){
 	"11": playLostHomeAndHolder,
 	"12": playCancelElsewhere,
+	"13": playStartAtNextBoot,
+	"14": playOtherKind,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-3/observer.go
+++ b/review/stand-3/observer.go
@@ -18,6 +18,8 @@
 		startedAt map[string][]time.Time
 		// twice has the runs that began while another run of their task went on.
 		twice []string
+		// unlabelled has the starts on workers without the label that the task needs.
+		unlabelled []string
 	}
 
 	observedRun struct {
@@ -33,13 +35,15 @@
 
 func (o *observer) note(format string, args ...any) { o.record.write(format, args...) }
 
-// started notes a start. The label is the one that the task needs, or empty.
-func (o *observer) started(w *worker, s startOrder, _ string) {
+// started notes a start. The label is the one that the task needs, or empty. The caller
+// holds w.mu.
+func (o *observer) started(w *worker, s startOrder, label string) {
 	now := time.Now()
 	o.record.write("start    %s run %d on %s, token %d", s.Task, s.Run, w.id, s.FencingToken)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.starts++
+	o.checkLabel(w, s, label)
 	job := jobOf(s.Task)
 	o.startedAt[job] = append(o.startedAt[job], now)
 	for _, other := range o.running[s.Task] {
