--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -14,11 +14,8 @@
 // cases maps the names of the cases to their plays. A play returns what broke the
 // rule, one line each; an error means that the case could not run.
 var cases = map[string]func(*site, bool) ([]string, error){
-	"11": playLostHomeAndHolder,
-	"12": playCancelElsewhere,
-	"13": playStartAtNextBoot,
-	"14": playOtherKind,
-	"15": playSmallerBoot,
+	"11": playClockBackSmaller,
+	"12": playClockBackOtherKind,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-3/observer.go
+++ b/review/stand-3/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -56,6 +57,23 @@
 	o.running[s.Task] = append(o.running[s.Task], observedRun{w.id, s.Run, now})
 }
 
+// checkLabel notes a start without its label. The caller holds o.mu and w.mu.
+func (o *observer) checkLabel(w *worker, s startOrder, label string) {
+	if label != "" && !slices.Contains(w.labels, label) {
+		o.unlabelled = append(o.unlabelled, fmt.Sprintf("ROUTE: %s run %d, which needs the label %s, starts on %s with the labels %v, %.3f s after it started",
+			s.Task, s.Run, label, w.id, w.labels, time.Since(w.boot.startedAt).Seconds()))
+	}
+}
+
+// checkCapacity notes a start that brings a worker over its capacity. The caller holds o.mu
+// and w.mu.
+func (o *observer) checkCapacity(w *worker, s startOrder, used int) {
+	if used > w.cpu {
+		o.overCapacity = append(o.overCapacity, fmt.Sprintf("LIMIT: %s run %d brings %s to %d of %d thousandths of a core, %.3f s after it started",
+			s.Task, s.Run, w.id, used, w.cpu, time.Since(w.boot.startedAt).Seconds()))
+	}
+}
+
 func (o *observer) ended(worker, task string, number int64, how string) {
 	o.record.write("end      %s run %d on %s: %s", task, number, worker, how)
 	o.mu.Lock()
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -243,11 +242,6 @@
 // send sends a request of a client on a connection of its own. The client leaves when
 // the context ends: it closes the connection.
 func (n *node) send(ctx context.Context, method, id string, body any, deadline time.Duration) answer {
-	return n.sendOn(ctx, nil, method, id, body, deadline)
-}
-
-// sendOn is like send, on a connection that may be reset; c is nil for a usual one.
-func (n *node) sendOn(ctx context.Context, c *resettable, method, id string, body any, deadline time.Duration) answer {
 	var data []byte
 	if body != nil {
 		var err error
@@ -265,11 +259,7 @@
 	}
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	n.site.record.write("send     %s %s to %s", method, id, n.id)
-	dial := (&net.Dialer{}).DialContext
-	if c != nil {
-		dial = c.dial
-	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
 		n.site.record.write("no answer to %s %s at %s: %s", method, id, n.id, errors.Unwrap(err))
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -36,14 +36,16 @@
 		seq    int
 		// unguarded means that the worker starts whatever it is told to start.
 		unguarded bool
-		// late decides how much later a start is carried out that gets no answer; zero
-		// means at once, with an answer. It may be nil.
-		late func(startOrder) time.Duration
+		// clockAhead is by how much the time of day at the worker is ahead of the true
+		// time.
+		clockAhead time.Duration
 	}
 
 	// boot is the state of a worker from a start to the next crash.
 	boot struct {
 		startedAt time.Time
+		// born is the time of day at the worker when it started, in Unix milliseconds.
+		born int64
 		server    *http.Server
 		token     int64
 		// lease is when all runs end, on the worker's clock.
@@ -86,6 +88,7 @@
 	mux.HandleFunc("/", func(out http.ResponseWriter, r *http.Request) { w.serve(b, out, r) })
 	b.server = &http.Server{Handler: mux}
 	w.mu.Lock()
+	b.born = b.startedAt.Add(w.clockAhead).UnixMilli()
 	w.boot = b
 	w.mu.Unlock()
 	go func() { _ = b.server.Serve(l) }()
@@ -106,7 +109,7 @@
 		entry, err := json.Marshal(map[string]any{
 			"service": w.service, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 			"capacity": map[string]int{"cpu": w.cpu, "memMb": 65536, "gpu": 0}, "labels": w.labels,
-			"born": b.startedAt.UnixMilli(), "clockMs": w.clock(b).Milliseconds(), "seq": w.seq,
+			"born": b.born, "clockMs": w.clock(b).Milliseconds(), "seq": w.seq,
 		})
 		w.mu.Unlock()
 		if err != nil {
@@ -180,14 +183,6 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if w.late != nil && strings.HasSuffix(r.URL.Path, "/run-start") {
-		if d := w.late(o); d > 0 {
-			w.observer.note("the start of %s run %d at %s gets no answer; it is carried out %d ms later", o.Task, o.Run, w.id, d.Milliseconds())
-			time.AfterFunc(d, func() { w.carryOutLate(o) })
-			<-r.Context().Done()
-			return
-		}
-	}
 	switch {
 	case strings.HasSuffix(r.URL.Path, "/hold"):
 		w.hold(b, o, out, r)
@@ -200,19 +195,6 @@
 	}
 }
 
-// carryOutLate carries out a start at whichever boot has the worker's id then.
-func (w *worker) carryOutLate(o startOrder) {
-	w.mu.Lock()
-	b := w.boot
-	w.mu.Unlock()
-	if b == nil {
-		w.observer.note("the late start of %s run %d finds %s down", o.Task, o.Run, w.id)
-		return
-	}
-	reason := w.runStart(b, o)
-	w.observer.note("the late start of %s run %d at %s: %q", o.Task, o.Run, w.id, reason)
-}
-
 // answer answers an order; reason is empty if it was carried out.
 func (w *worker) answer(b *boot, out http.ResponseWriter, reason string) {
 	body := map[string]any{"clockMs": w.clock(b).Milliseconds()}
@@ -323,8 +305,7 @@
 		running = append(running, []any{task, t.number, "", percent, t.cpu})
 	}
 	writeJSON(out, http.StatusOK, map[string]any{
-		"clockMs": w.clock(b).Milliseconds(), "born": b.startedAt.UnixMilli(), "running": running,
-		"ended":    append([][]any{}, b.ended[:min(len(b.ended), 500)]...),
-		"capacity": map[string]int{"cpu": w.cpu, "memMb": 65536, "gpu": 0}, "labels": w.labels,
+		"clockMs": w.clock(b).Milliseconds(), "born": b.born, "running": running,
+		"ended": append([][]any{}, b.ended[:min(len(b.ended), 500)]...),
 	})
 }
