--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(*site, bool) ([]string, error){
 	"11": playClockBackSmaller,
 	"12": playClockBackOtherKind,
+	"13": playLargeOddEntries,
+	"14": playCutText,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-3/observer.go
+++ b/review/stand-3/observer.go
@@ -23,6 +23,12 @@
 		unlabelled []string
 		// overCapacity has the starts that brought a worker over its capacity.
 		overCapacity []string
+		// sent has the JSON text of the spec that was sent with each job, and otherSpec
+		// the starts with another one.
+		sent      map[string]string
+		otherSpec []string
+		// draining has the starts on workers that drain, later than drainTime.
+		draining []string
 	}
 
 	observedRun struct {
@@ -33,7 +39,7 @@
 )
 
 func newObserver(r *record) *observer {
-	return &observer{record: r, running: map[string][]observedRun{}, startedAt: map[string][]time.Time{}}
+	return &observer{record: r, running: map[string][]observedRun{}, startedAt: map[string][]time.Time{}, sent: map[string]string{}}
 }
 
 func (o *observer) note(format string, args ...any) { o.record.write(format, args...) }
@@ -48,6 +54,8 @@
 	o.starts++
 	o.checkLabel(w, s, label)
 	o.checkCapacity(w, s, used)
+	o.checkSpec(w, s)
+	o.checkDraining(w, s)
 	job := jobOf(s.Task)
 	o.startedAt[job] = append(o.startedAt[job], now)
 	for _, other := range o.running[s.Task] {
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -249,12 +249,17 @@
 			panic(err)
 		}
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.ip+":8161"+prefix+id, strings.NewReader(string(data)))
+	return n.sendText(ctx, method, id, string(data), deadline)
+}
+
+// sendText is like send, with the text of the body; it may be empty.
+func (n *node) sendText(ctx context.Context, method, id, body string, deadline time.Duration) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.ip+":8161"+prefix+id, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	r.Host = host
-	if body != nil {
+	if body != "" {
 		r.Header.Set("Content-Type", "application/json")
 	}
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -14,6 +14,14 @@
 // storeAnswerTime is how long the store takes to answer, as on the users' sheets.
 const storeAnswerTime = 4 * time.Millisecond
 
+// The limits of the pages: how long the history of changes is kept, and how much a reply to
+// rows-get has at most.
+const (
+	historyTime  = 20 * time.Second
+	maxReplyRows = 500
+	maxReplySize = 1 << 20
+)
+
 type (
 	// store is a stand-in for the platform's store with its tables of rows.
 	store struct {
@@ -23,6 +31,8 @@
 		ver     uint64
 		rows    map[string]storeRow
 		changed chan struct{}
+		// written has the time of each version, for the history.
+		written []time.Time
 	}
 
 	storeRow struct {
@@ -67,16 +77,19 @@
 // write stores a row under the present version. The caller holds s.mu.
 func (s *store) write(r storeRow) {
 	r.Ver = s.ver
+	for uint64(len(s.written)) <= s.ver {
+		s.written = append(s.written, time.Now())
+	}
 	s.rows[r.Table+"\x00"+r.Part+"\x00"+r.Key] = r
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *store) reply(w http.ResponseWriter, rows []storeRow) {
+func (s *store) reply(w http.ResponseWriter, rows []storeRow, truncated bool) {
 	if rows == nil {
 		rows = []storeRow{}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "truncated": false, "ver": s.ver, "nowMs": time.Now().UnixMilli()})
+	writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "truncated": truncated, "ver": s.ver, "nowMs": time.Now().UnixMilli()})
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
@@ -91,7 +104,17 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
-	s.reply(w, rows)
+	limit, size := maxReplyRows, 0
+	if n, err := strconv.Atoi(q.Get("limit")); err == nil && n > 0 {
+		limit = min(limit, n)
+	}
+	for i, row := range rows {
+		if size += len(row.Value); i >= limit || i > 0 && size > maxReplySize {
+			s.reply(w, rows[:i], true)
+			return
+		}
+	}
+	s.reply(w, rows, false)
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -102,6 +125,11 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if next := after + 1; next < uint64(len(s.written)) && time.Since(s.written[next]) > historyTime {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		var rows []storeRow
 		for _, row := range s.rows {
 			if row.Table == q.Get("table") && row.Ver > after {
@@ -110,7 +138,7 @@
 		}
 		if len(rows) > 0 || wait == 0 {
 			slices.SortFunc(rows, func(a, b storeRow) int { return int(a.Ver) - int(b.Ver) })
-			s.reply(w, rows)
+			s.reply(w, rows, false)
 			s.mu.Unlock()
 			return
 		}
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf16"
 )
 
 const (
@@ -39,15 +40,19 @@
 		// clockAhead is by how much the time of day at the worker is ahead of the true
 		// time.
 		clockAhead time.Duration
+		// leavesAt is when the worker leaves; zero if it doesn't drain.
+		leavesAt time.Time
+		// drainingSince is when the store had accepted that the worker drains.
+		drainingSince time.Time
 	}
 
 	// boot is the state of a worker from a start to the next crash.
 	boot struct {
 		startedAt time.Time
 		// born is the time of day at the worker when it started, in Unix milliseconds.
-		born int64
-		server    *http.Server
-		token     int64
+		born   int64
+		server *http.Server
+		token  int64
 		// lease is when all runs end, on the worker's clock.
 		lease    time.Duration
 		running  map[string]*taskRun
@@ -67,13 +72,14 @@
 	}
 
 	startOrder struct {
-		Task         string `json:"task"`
-		Run          int64  `json:"run"`
-		Spec         string `json:"spec"`
-		DeadlineMs   int64  `json:"deadlineMs"`
-		FencingToken int64  `json:"fencingToken"`
-		LastSeen     int    `json:"lastSeen"`
-		WaitMs       int64  `json:"waitMs"`
+		Task string `json:"task"`
+		Run  int64  `json:"run"`
+		// Spec is the JSON text of the spec.
+		Spec         json.RawMessage `json:"spec"`
+		DeadlineMs   int64           `json:"deadlineMs"`
+		FencingToken int64           `json:"fencingToken"`
+		LastSeen     int             `json:"lastSeen"`
+		WaitMs       int64           `json:"waitMs"`
 	}
 )
 
@@ -106,20 +112,53 @@
 			return
 		}
 		w.seq++
-		entry, err := json.Marshal(map[string]any{
-			"service": w.service, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-			"capacity": map[string]int{"cpu": w.cpu, "memMb": 65536, "gpu": 0}, "labels": w.labels,
-			"born": b.born, "clockMs": w.clock(b).Milliseconds(), "seq": w.seq,
-		})
+		entry := w.entry(b)
 		w.mu.Unlock()
-		if err != nil {
-			panic(err)
-		}
 		w.store.put("servers", w.id, entry)
 		time.Sleep(heartbeat)
 	}
 }
 
+// entry returns the worker's entry. The caller holds w.mu.
+func (w *worker) entry(b *boot) []byte {
+	e := map[string]any{
+		"service": w.service, "addr": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"capacity": map[string]int{"cpu": w.cpu, "memMb": 65536, "gpu": 0}, "labels": w.labels,
+		"born": b.born, "clockMs": w.clock(b).Milliseconds(), "seq": w.seq,
+	}
+	if !w.leavesAt.IsZero() {
+		e["state"], e["remainingMs"] = "draining", max(time.Until(w.leavesAt).Milliseconds(), 0)
+	}
+	data, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// drain makes the worker report that it drains, and leave after a time. It returns when
+// the store has accepted the report.
+func (w *worker) drain(d time.Duration) {
+	w.mu.Lock()
+	w.leavesAt = time.Now().Add(d)
+	w.seq++
+	b, entry := w.boot, w.entry(w.boot)
+	w.mu.Unlock()
+	w.store.put("servers", w.id, entry)
+	w.mu.Lock()
+	w.drainingSince = time.Now()
+	w.mu.Unlock()
+	time.AfterFunc(d, func() {
+		w.mu.Lock()
+		same := w.boot == b
+		w.mu.Unlock()
+		if same {
+			w.crash()
+			w.store.remove("servers", w.id)
+		}
+	})
+}
+
 // crash ends the worker and all that it runs.
 func (w *worker) crash() {
 	w.mu.Lock()
@@ -231,7 +270,7 @@
 	}
 	var ms, cpu int
 	var label string
-	_, _ = fmt.Sscan(o.Spec, &ms, &cpu, &label)
+	_, _ = fmt.Sscan(string(utf16.Decode(units(o.Spec))), &ms, &cpu, &label)
 	r := &taskRun{number: o.Run, cpu: cpu, startedAt: time.Now(), duration: time.Duration(ms) * time.Millisecond}
 	used := cpu
 	for _, other := range b.running {
