--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -50,10 +52,18 @@
 		broken, err := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
 		done <- result{broken, err}
 	}()
-	r := result{err: errors.New("it took too long")}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	var r result
 	select {
 	case r = <-done:
 	case <-time.After(limit):
+		r.err = errors.New("it took too long")
+	case <-ended:
+		r.err = errors.New("it was ended by a signal")
+	}
+	if r.err == nil && s.observer.startCount() == 0 {
+		r.err = errors.New("no task was started")
 	}
 	if r.err != nil {
 		record.write("the case could not run: %v", r.err)
--- a/review/stand-3/observer.go
+++ b/review/stand-3/observer.go
@@ -95,6 +95,13 @@
 	o.running[task] = rest
 }
 
+// startCount returns the number of starts.
+func (o *observer) startCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.starts
+}
+
 // runsTwice returns the runs that began while another run of their task went on.
 func (o *observer) runsTwice() []string {
 	o.mu.Lock()
