Bound the number of connections, and close the one that waits longest

What callers saw: with 5,000 connections that are kept after one request, an instance of 4,100 descriptors logs "accept: too many open files". New callers wait, and nothing is left for the store, the other instances and the endpoints.

Cause: nobody counted connections, and limits.maxFds of the platform's settings was not read. The readiness probe and the metrics shared the fault.

Ruled out: a bound at the listener that lets new connections wait: a crowd that holds its connections would keep all others out. Closing the oldest: it may be the one of a caller who waits for a job.

Change: package connection decides. A connection waits until its request has been read whole, and is served until the handler returns; if there are too many, the one that has waited longest is closed. If all are served, the new one is answered 503, not run, with Retry-After. Callers get three quarters of the descriptors, and one connection for each 40 KiB of three tenths of the memory; the other listeners 64 each at most, so that a crowd of callers doesn't reach the readiness probe. On the path of a request this is two atomic operations; only accepting takes the lock.

A listener with TLS speaks HTTP/1.1 only now, since a connection of HTTP/2 carries many requests at a time that these limits would not see.

LC2091 is logged once in ten seconds at most.

--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/task"
 )
@@ -85,7 +86,7 @@
 	f.ended = make(chan error, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	s := NewServer(NewHandler(Config{Service: f, Limits: l}), l, nil, nil)
+	s := NewServer(NewHandler(Config{Service: f, Limits: l}), l, httpapi.Bounds{}, nil, nil)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(listener) }()
 	t.Cleanup(func() { s.Close(); <-done; http.DefaultTransport.(*http.Transport).CloseIdleConnections() })
--- a/caller/incomplete_body_test.go
+++ b/caller/incomplete_body_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 )
 
 // TestIncompleteBodyClosesConnection checks that the server closes a connection on
@@ -20,7 +22,7 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := NewServer(NewHandler(Config{Limits: limits}), limits, nil, nil)
+	server := NewServer(NewHandler(Config{Limits: limits}), limits, httpapi.Bounds{}, nil, nil)
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,15 +9,16 @@
 )
 
 // NewServer returns a server for the handler that enforces the limits of
-// connections. Without a TLS configuration it uses plain TCP. It calls record,
+// connections, also of all together. Without a TLS configuration it uses plain TCP. It calls record,
 // unless that is nil, for connections that fail.
-func NewServer(h http.Handler, limits Limits, t *tls.Config, record func(event.Record)) *http.Server {
+func NewServer(h http.Handler, limits Limits, bounds httpapi.Bounds, t *tls.Config, record func(event.Record)) *httpapi.Server {
 	return httpapi.NewServer(httpapi.ServerConfig{
 		Handler:     h,
 		HeaderBytes: limits.HeaderBytes,
 		ReadTime:    limits.ReadTime,
 		IdleTime:    limits.IdleTime,
 		TLS:         t,
+		Bounds:      bounds,
 		Record:      record,
 	})
 }
--- a/event/table.go
+++ b/event/table.go
@@ -61,6 +61,7 @@
 	TaskSuspected
 	RunFailed
 	FailureCounted
+	ConnectionRefused
 	numKinds
 )
 
@@ -125,6 +126,7 @@
 	TaskSuspected:         row("LC2088", catalogue.Info, "Task suspected", "A task that waits was lost with endpoints, so that it may have crashed them. The log gives how it may start again: apart from others if possible, alone on an endpoint, not before the losses are proved or withdrawn (wait), not before they are forgotten (withhold), or as any other (free).", "If it is withheld, look at what the task does."),
 	RunFailed:             row("LC2089", catalogue.Info, "Run failed", "An endpoint has listed the end of a run as failed. The log gives the number of the end and the start of the endpoint's boot, so that no end is taken for another.", "No action is needed. If an endpoint is named often, look at what it runs."),
 	FailureCounted:        row("LC2090", catalogue.Info, "Failure counted", "The home of a job has counted a failed run of a task; the log gives how many failures the queue allows. With the last of them the job fails.", "No action is needed. Each count should have an LC2089 of the same run and endpoint."),
+	ConnectionRefused:     row("LC2091", catalogue.Warning, "Connections refused", "Clients' connections were closed or refused: there were too many. The log gives the last one. A line stands for all of ten seconds.", "Look at what the client sends. docs/POLICY.md describes the limits."),
 }
 
 func row(code string, severity catalogue.Severity, title, text, remedy string) catalogue.Entry {
--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -32,13 +32,15 @@
 )
 
 type (
-	// Limits bound the memory that callers' jobs take. A field that is zero has its
-	// default.
+	// Limits bound the memory and the descriptors that callers take. A field that is zero
+	// has its default.
 	Limits struct {
 		// JobTasks is the maximum number of tasks of one job.
 		JobTasks int
 		// InstanceBytes is the memory that the instance may use for everything.
 		InstanceBytes int64
+		// Descriptors is the number of descriptors that the instance may open.
+		Descriptors int
 	}
 
 	// Size is the size of a job. The zero value is a job without steps.
@@ -65,6 +67,9 @@
 	if l.InstanceBytes <= 0 {
 		l.InstanceBytes = DefaultInstanceBytes
 	}
+	if l.Descriptors <= 0 {
+		l.Descriptors = DefaultDescriptors
+	}
 	return l
 }
 
--- /dev/null
+++ b/internal/httpapi/conn.go
@@ -0,0 +1,113 @@
+package httpapi
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lovagecrank/lovagecrank/connection"
+	"github.com/lovagecrank/lovagecrank/fault"
+)
+
+const (
+	// refusalRetryAfter is when a refused client may come back.
+	refusalRetryAfter = time.Second
+	// A refused client gets its reply only if little of what it sends is left unread:
+	// the connection is reset otherwise.
+	refusalDrainTime  = 10 * time.Millisecond
+	refusalDrainBytes = 64 << 10
+)
+
+var errRefused = errors.New("the request was refused")
+
+type (
+	// conn is a connection of a server. The HTTP server never reads from two goroutines at
+	// once.
+	conn struct {
+		net.Conn
+		// tcp is the connection beneath TLS, or Conn itself.
+		tcp    net.Conn
+		server *Server
+		// tls is the connection if its handshake has not been done, or nil.
+		tls *tls.Conn
+		// entry is the place in the server's table.
+		entry *connection.Entry[*conn]
+	}
+
+	connKey struct{}
+)
+
+// Read implements [io.Reader].
+func (c *conn) Read(p []byte) (int, error) {
+	if c.tls != nil {
+		if err := c.handshake(); err != nil {
+			return 0, &net.OpError{Op: "read", Err: err}
+		}
+		c.tls = nil
+	}
+	return c.Conn.Read(p)
+}
+
+// handshake carries out the TLS handshake. The HTTP server has set the time limit for the
+// first header, which is that of reading from the client, too.
+func (c *conn) handshake() error {
+	if err := c.SetWriteDeadline(time.Now().Add(c.server.ReadHeaderTimeout)); err != nil {
+		return err
+	}
+	if err := c.tls.Handshake(); err != nil {
+		var plain tls.RecordHeaderError
+		if errors.As(err, &plain) && plain.Conn != nil {
+			_, _ = io.WriteString(plain.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nThis address serves HTTPS only.\n")
+		}
+		c.server.ErrorLog.Printf("TLS handshake with %s: %v", c.RemoteAddr(), err)
+		return err
+	}
+	return c.SetWriteDeadline(time.Time{})
+}
+
+// Close implements [net.Conn].
+func (c *conn) Close() error {
+	c.server.connections.Remove(c.entry)
+	return c.Conn.Close()
+}
+
+// abort closes the connection without a word to the client, which may not read it.
+func (c *conn) abort() { _ = c.tcp.Close() }
+
+// CloseWrite closes the side of the connection that sends. The HTTP server calls it.
+func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
+
+func closeWrite(c net.Conn) error {
+	if w, ok := c.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// writeRefusal replies with the error, without waiting for the client. The connection is
+// of no use afterwards.
+func writeRefusal(now time.Time, c net.Conn, f *fault.Error) {
+	body := appendFailure(nil, "", f)
+	_ = c.SetDeadline(now.Add(refusalDrainTime))
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %d\r\nConnection: close\r\n\r\n%s",
+		len(body), int64((f.RetryAfter+time.Second-1)/time.Second), body)
+	if err == nil && closeWrite(c) == nil {
+		_, _ = io.CopyN(io.Discard, c, refusalDrainBytes)
+	}
+}
+
+// connOf returns the connection of a request, or nil in tests without one.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// withConn is the ConnContext of a server.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -3,19 +3,47 @@
 import (
 	"crypto/tls"
 	"log"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovagecrank/lovagecrank/connection"
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/footprint"
+	"github.com/lovagecrank/lovagecrank/metric"
+)
+
+const (
+	// headerSlack is how far, in bytes, the limit of the HTTP server exceeds the
+	// configured header limit. It lets the router answer a request just above the
+	// configured limit with an error that includes a remedy.
+	headerSlack = 64 << 10
+	// reportInterval is the least time between two events about refused connections.
+	reportInterval = 10 * time.Second
+	// maxRefusing is the maximum number of new connections that are being refused with a
+	// reply.
+	maxRefusing = 16
+)
+
+// The reasons for which connections are closed or refused.
+const (
+	displaced refusalReason = iota
+	tableFull
+	numRefusals
 )
 
-// headerSlack is how far, in bytes, the limit of the HTTP server exceeds the
-// configured header limit. It lets the router answer a request just above the
-// configured limit with an error that includes a remedy.
-const headerSlack = 64 << 10
+// refusalNames are the values of the label reason in metrics.
+var refusalNames = [numRefusals]string{"displaced", "full"}
 
 type (
+	// refusalReason is why a connection is closed or refused.
+	refusalReason int
+
 	// ServerConfig configures a server.
 	ServerConfig struct {
 		Handler http.Handler
@@ -27,11 +55,41 @@
 		IdleTime time.Duration
 		// TLS is the TLS configuration. It is nil for plain TCP.
 		TLS *tls.Config
+		Bounds
 		// Record is called with an event for each failed connection. It may be
 		// nil.
 		Record func(event.Record)
 	}
 
+	// Bounds bound what all connections take together. Servers may share budgets.
+	Bounds struct {
+		// Connections is the maximum number of connections of the server. If there are
+		// more, the one that has waited longest for a request is closed. If it is zero,
+		// the number is that of callers of an instance with the default limits.
+		Connections int
+	}
+
+	// Server is an HTTP server that bounds what its connections take together.
+	Server struct {
+		*http.Server
+		tls         *tls.Config
+		connections *connection.Table[*conn]
+		refusals    [numRefusals]atomic.Uint64
+		// replies are the goroutines that refuse new connections, and refusing their
+		// number, which only the one that accepts increases.
+		replies  conc.WaitGroup
+		refusing atomic.Int32
+		record   func(event.Record)
+		// reportedAt is when a refusal was last reported, in nanoseconds since 1970.
+		reportedAt atomic.Int64
+	}
+
+	// listener accepts the connections of a server.
+	listener struct {
+		net.Listener
+		server *Server
+	}
+
 	// errorWriter converts the error log of the HTTP server, such as failed
 	// TLS handshakes, into events.
 	errorWriter struct {
@@ -40,21 +98,127 @@
 )
 
 // NewServer returns an HTTP server with the configured connection limits.
-func NewServer(cfg ServerConfig) *http.Server {
-	return &http.Server{
-		Handler:           cfg.Handler,
-		TLSConfig:         cfg.TLS,
+func NewServer(cfg ServerConfig) *Server {
+	s := &Server{tls: cfg.TLS, record: cfg.Record}
+	if cfg.Connections <= 0 {
+		cfg.Connections = footprint.Limits{}.CallerConnections()
+	}
+	s.connections = connection.NewTable[*conn](cfg.Connections)
+	if s.record == nil {
+		s.record = func(event.Record) {}
+	}
+	s.Server = &http.Server{
+		Handler:           s.trackRequests(cfg.Handler),
 		ReadHeaderTimeout: cfg.ReadTime,
 		IdleTimeout:       cfg.IdleTime,
 		MaxHeaderBytes:    cfg.HeaderBytes + headerSlack,
-		ErrorLog:          log.New(errorWriter{cfg.Record}, "", 0),
+		ConnContext:       withConn,
+		ErrorLog:          log.New(errorWriter{s.record}, "", 0),
 	}
+	return s
+}
+
+// Serve accepts connections until the server is shut down or the listener fails. With a
+// TLS configuration it speaks HTTP/1.1 only: the limits count the requests of a
+// connection one at a time.
+func (s *Server) Serve(l net.Listener) error {
+	defer s.replies.Wait()
+	return s.Server.Serve(&listener{l, s})
+}
+
+// Accept implements [net.Listener]. It closes the connection that has waited longest if
+// there are too many, and refuses the new one if all are served.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now, s := time.Now(), l.server
+		c := &conn{Conn: accepted, tcp: accepted, server: s}
+		if s.tls != nil {
+			c.tls = tls.Server(accepted, s.tls)
+			c.Conn = c.tls
+		}
+		var closed *connection.Entry[*conn]
+		c.entry, closed = s.connections.Add(now, c)
+		if closed != nil {
+			s.reportRefusal(now, displaced, closed.Conn.RemoteAddr(), "it waited longest of all connections")
+			closed.Conn.abort()
+		}
+		if c.entry != nil {
+			return c, nil
+		}
+		s.refuseConnection(now, accepted)
+	}
+}
+
+// refuseConnection replies to a new connection that there is no room, and closes it. Under
+// TLS, and if many are being refused, it closes it at once.
+func (s *Server) refuseConnection(now time.Time, c net.Conn) {
+	f := fault.New(fault.QueueFull, "all %d connections are served", s.connections.Limit()).WithRetryAfter(refusalRetryAfter)
+	s.reportRefusal(now, tableFull, c.RemoteAddr(), f.Detail)
+	if s.tls != nil || s.refusing.Load() >= maxRefusing {
+		_ = c.Close()
+		return
+	}
+	s.refusing.Add(1)
+	s.replies.Go(func() {
+		writeRefusal(now, c, f)
+		_ = c.Close()
+		s.refusing.Add(-1)
+	})
+}
+
+// trackRequests returns a handler that passes requests to h and marks how far they have
+// come.
+func (s *Server) trackRequests(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r)
+		if c == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if r.ContentLength == 0 && !c.entry.Serve() {
+			panic(http.ErrAbortHandler) // the connection is closed; a return would be a reply
+		}
+		defer func() { c.entry.Wait(time.Now()) }() // the reply may be read slowly
+		if r.ContentLength != 0 {
+			r.Body = &requestBody{ReadCloser: r.Body, conn: c}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Connections returns the numbers of connections.
+func (s *Server) Connections() connection.Count { return s.connections.Count() }
+
+// Clients returns the state of the listener for metrics.
+func (s *Server) Clients() metric.Clients {
+	n := s.Connections()
+	c := metric.Clients{
+		Waiting: n.Waiting, Serving: n.Serving, MaxConnections: n.Limit,
+		Refused: map[string]uint64{},
+	}
+	for reason, name := range refusalNames {
+		c.Refused[name] = s.refusals[reason].Load()
+	}
+	return c
+}
+
+// reportRefusal counts a refused or closed connection, and records an event at most once
+// in reportInterval.
+func (s *Server) reportRefusal(now time.Time, reason refusalReason, client net.Addr, detail string) {
+	s.refusals[reason].Add(1)
+	last := s.reportedAt.Load()
+	if now.UnixNano()-last < int64(reportInterval) || !s.reportedAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	s.record(event.Record{Kind: event.ConnectionRefused, Subject: client.String(), Detail: detail})
 }
 
 // Write implements [io.Writer].
 func (w errorWriter) Write(p []byte) (int, error) {
-	if w.record != nil {
-		w.record(event.Record{Kind: event.RequestFailed, Subject: "connection", Detail: strings.TrimSpace(string(p))})
-	}
+	w.record(event.Record{Kind: event.RequestFailed, Subject: "connection", Detail: strings.TrimSpace(string(p))})
 	return len(p), nil
 }
--- a/metric/collector.go
+++ b/metric/collector.go
@@ -20,6 +20,15 @@
 		Teams          []Team
 		Slots          Slots
 		Peers          Peers
+		Clients        Clients
+	}
+
+	// Clients holds the state of the callers' listener.
+	Clients struct {
+		// Waiting, Serving and MaxConnections are numbers of connections.
+		Waiting, Serving, MaxConnections int
+		// Refused counts the connections that were closed or refused, by reason.
+		Refused map[string]uint64
 	}
 
 	// Class holds the statistics of one class.
@@ -102,6 +111,16 @@
 	}
 	dst.addSlots(s.Slots)
 	dst.addPeers(s.Peers)
+	dst.addClients(s.Clients)
+}
+
+func (dst sink) addClients(c Clients) {
+	dst.add(connections, float64(c.Waiting), "waiting")
+	dst.add(connections, float64(c.Serving), "serving")
+	dst.add(connections, float64(c.MaxConnections), "limit")
+	for reason, n := range c.Refused {
+		dst.add(refusedConnections, float64(n), reason)
+	}
 }
 
 // addInstance adds the metrics that both kinds of instances have.
--- a/metric/runner_set.go
+++ b/metric/runner_set.go
@@ -52,8 +52,9 @@
 		Evacuated []string
 		Peers     Peers
 		// Views are the views of data centres in use.
-		Views  []DataCentreView
-		Offers Offers
+		Views   []DataCentreView
+		Offers  Offers
+		Clients Clients
 	}
 
 	// EndpointLosses counts endpoints that were lost with runs. Suspected counts all
@@ -159,6 +160,7 @@
 	dst.add(profileMessages, float64(s.ProfilesSent), "sent")
 	dst.add(profileMessages, float64(s.ProfilesReceived), "received")
 	dst.addPeers(s.Peers)
+	dst.addClients(s.Clients)
 	for _, dc := range s.Evacuated {
 		dst.add(evacuatedDataCentres, 1, dc)
 	}
--- a/metric/set_test.go
+++ b/metric/set_test.go
@@ -39,6 +39,7 @@
 			Classes:        []Class{{Name: "urgent", Complete: 5, P99: 1500 * time.Millisecond}},
 			Teams:          []Team{{Name: "sofia", Running: 2}},
 			Slots:          Slots{Refusals: 1, SlotsUnused: 2, Unanswered: 4},
+			Clients:        Clients{Refused: map[string]uint64{"displaced": 3}},
 		}
 	})
 	s.Replies("caller")("/v1/jobs", 200, time.Millisecond)
@@ -55,7 +56,7 @@
 func scrapeRunner(t *testing.T) string {
 	j := NewRunnerSet(func() RunnerSnapshot {
 		return RunnerSnapshot{Ready: true, Jobs: 2, Runs: 3, EndpointStates: map[string]int{"open": 4},
-			EndpointsLost: EndpointLosses{Suspected: 5, Proved: 3, Withdrawn: 1}, Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}, Views: []DataCentreView{
+			EndpointsLost: EndpointLosses{Suspected: 5, Proved: 3, Withdrawn: 1}, Offers: Offers{Sent: 9, Taken: 6, Declined: 2, Expired: 1, Reserved: time.Second, SlotTime: time.Minute}, Evacuated: []string{"b"}, Clients: Clients{Refused: map[string]uint64{"displaced": 3}}, Views: []DataCentreView{
 				{DataCentre: "dc0", Age: 500 * time.Millisecond, Services: []ServiceSlots{{Service: "s", Slots: 8, Free: 3}}},
 			}}
 	})
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -61,13 +61,14 @@
 
 // NewServer returns a server for the handler. Without a TLS configuration it uses
 // plain TCP. It calls record, unless that is nil, for connections that fail.
-func NewServer(h http.Handler, t *tls.Config, record func(event.Record)) *http.Server {
+func NewServer(h http.Handler, bounds httpapi.Bounds, t *tls.Config, record func(event.Record)) *httpapi.Server {
 	return httpapi.NewServer(httpapi.ServerConfig{
 		Handler:     h,
 		HeaderBytes: maxHeaderBytes,
 		ReadTime:    readTimeout,
 		IdleTime:    idleTimeout,
 		TLS:         t,
+		Bounds:      bounds,
 		Record:      record,
 	})
 }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -45,6 +45,7 @@
 		EndpointsLost:    metric.EndpointLosses(v.Losses),
 		ProfilesSent:     v.ProfilesSent,
 		ProfilesReceived: v.ProfilesReceived,
+		Clients:          r.callers.Clients(),
 	}
 	for _, d := range v.DataCentres {
 		m := metric.DataCentreView{DataCentre: d.DataCentre, Age: d.Age(time.Now())}
--- a/runner/planned_stop.go
+++ b/runner/planned_stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/pool"
 )
 
@@ -41,7 +42,7 @@
 // Then new jobs are refused, and it waits until each request that was read has its
 // answer. It returns earlier if force ends, and at the latest exitMargin before the
 // end of the grace period.
-func (r *Runner) stopGracefully(force context.Context, servers []*http.Server) {
+func (r *Runner) stopGracefully(force context.Context, servers []*httpapi.Server) {
 	start := time.Now()
 	r.Record(start, event.Record{Kind: event.StopStarted, Subject: r.cfg.Self.ID})
 	r.stopping.Store(true)
--- a/runner/run.go
+++ b/runner/run.go
@@ -102,13 +102,14 @@
 
 // servers returns the HTTP servers for callers, the readiness probe and metrics,
 // in the order of the listeners.
-func (r *Runner) servers() []*http.Server {
-	serve := func(h http.Handler) *http.Server {
+func (r *Runner) servers() []*httpapi.Server {
+	serve := func(h http.Handler, connections int) *httpapi.Server {
 		return httpapi.NewServer(httpapi.ServerConfig{
 			Handler:     h,
 			HeaderBytes: maxHeaderBytes,
 			ReadTime:    headerTimeout,
 			IdleTime:    idleTimeout,
+			Bounds:      httpapi.Bounds{Connections: connections},
 			Record:      func(e event.Record) { r.Record(time.Now(), e) },
 		})
 	}
@@ -117,7 +118,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return []*http.Server{serve(r.countRequests(r.NewHandler(r))), serve(readiness), serve(r.metrics.Handler())}
+	callers, monitors := r.cfg.Limits.CallerConnections(), r.cfg.Limits.MonitorConnections()
+	r.callers = serve(r.countRequests(r.NewHandler(r)), callers)
+	return []*httpapi.Server{r.callers, serve(readiness, monitors), serve(r.metrics.Handler(), monitors)}
 }
 
 // ready reports whether the load balancer should send new connections.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -149,6 +149,8 @@
 		// requests is the number of callers' requests that have no complete answer.
 		requests atomic.Int64
 		metrics  *metric.RunnerSet
+		// callers is the server of callers' requests. Run sets it before it serves.
+		callers *httpapi.Server
 		// memory is the memory that bodies and open jobs take.
 		memory *footprint.Budget
 		// listReads are the reads of the endpoints and the instances from the
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -26,7 +26,8 @@
 			GrantsSent:    v.Counters.GrantsSent,
 			Unanswered:    v.Counters.Unanswered,
 		},
-		Peers: peerMetrics(p.peers.Traffic()),
+		Peers:   peerMetrics(p.peers.Traffic()),
+		Clients: p.callers.Clients(),
 	}
 	for _, i := range v.Instances {
 		if i.Live {
--- a/serve/program.go
+++ b/serve/program.go
@@ -18,6 +18,7 @@
 	"github.com/lovagecrank/lovagecrank/entry"
 	"github.com/lovagecrank/lovagecrank/event"
 	"github.com/lovagecrank/lovagecrank/instance"
+	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 	"github.com/lovagecrank/lovagecrank/job"
 	"github.com/lovagecrank/lovagecrank/metric"
 	"github.com/lovagecrank/lovagecrank/peer"
@@ -40,8 +41,8 @@
 		tracer    *trace.Tracer
 		metrics   *metric.Set
 		tls       tlsConfigs
-		callers   *http.Server
-		operators *http.Server
+		callers   *httpapi.Server
+		operators *httpapi.Server
 		// cancel ends the context of the driver and of all background work.
 		cancel context.CancelFunc
 	}
@@ -192,7 +193,7 @@
 	lost = p.driver.drain(force)
 	ctx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
-	for _, s := range []*http.Server{p.callers, p.operators} {
+	for _, s := range []*httpapi.Server{p.callers, p.operators} {
 		if s.Shutdown(ctx) != nil {
 			s.Close()
 		}
@@ -232,15 +233,9 @@
 }
 
 // serveHTTP serves s on l in a goroutine until s is shut down or fails.
-func serveHTTP(wg *conc.WaitGroup, s *http.Server, l net.Listener) {
+func serveHTTP(wg *conc.WaitGroup, s *httpapi.Server, l net.Listener) {
 	wg.Go(func() {
-		var err error
-		if s.TLSConfig != nil {
-			err = s.ServeTLS(l, "", "")
-		} else {
-			err = s.Serve(l)
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.Close()
 		}
 	})
