Count what headers take over all connections

Cause: net/http makes a map of a header, line by line, before any handler runs, and nobody counted it. headerSlack let 64 KiB more than the limit through, for the sake of an error that the platform's path doesn't give.

Ruled out: a bound for each connection alone, since thousands of legal ones have to fit; a limit of the collector, which bounds nothing by itself.

Change: each connection counts lines and bytes before it hands them on, and reserves 128 bytes a line and eight a byte from one budget for all listeners, a tenth of the memory, until the request is answered. 20 KiB a connection are free, so that a usual request never touches the budget. If there is no room, the client gets 503, not run, with Retry-After, and the connection is closed: the request had not reached the handler. Headers that are read ahead with the request before are counted, too: the buffer of net/http holds 4 KiB. The platform's path has no slack any more, a router 16 KiB.

TestHeaderFitsItsReservation shows that decoding takes no more than is counted, TestHeadersTogetherExceedMemory and TestReadAheadIsCounted fail without the budget, and TestBodiesAreNotCountedAsHeaders that a caller who keeps its connection pays for headers only.

--- a/caller/server.go
+++ b/caller/server.go
@@ -14,7 +14,7 @@
 func NewServer(h http.Handler, limits Limits, bounds httpapi.Bounds, t *tls.Config, record func(event.Record)) *httpapi.Server {
 	return httpapi.NewServer(httpapi.ServerConfig{
 		Handler:     h,
-		HeaderBytes: limits.HeaderBytes,
+		HeaderBytes: limits.HeaderBytes + httpapi.RouterSlack,
 		ReadTime:    limits.ReadTime,
 		IdleTime:    limits.IdleTime,
 		TLS:         t,
--- a/internal/httpapi/conn.go
+++ b/internal/httpapi/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lovagecrank/lovagecrank/connection"
@@ -23,11 +24,19 @@
 	refusalDrainBytes = 64 << 10
 )
 
+// The states of a request: its header is read, it is served, or it was refused before it
+// was served.
+const (
+	reading int32 = iota
+	served
+	refused
+)
+
 var errRefused = errors.New("the request was refused")
 
 type (
-	// conn is a connection of a server. The HTTP server never reads from two goroutines at
-	// once.
+	// conn is a connection that reserves memory for the headers it reads before the
+	// HTTP server decodes them. The HTTP server never reads from two goroutines at once.
 	conn struct {
 		net.Conn
 		// tcp is the connection beneath TLS, or Conn itself.
@@ -37,20 +46,29 @@
 		tls *tls.Conn
 		// entry is the place in the server's table.
 		entry *connection.Entry[*conn]
+		state atomic.Int32
+		header
 	}
 
 	connKey struct{}
 )
 
-// Read implements [io.Reader].
+// Read implements [io.Reader]. It refuses a request whose header finds no memory.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.state.Load() == refused {
+		return 0, &net.OpError{Op: "read", Err: errRefused} // the HTTP server doesn't reply to it
+	}
 	if c.tls != nil {
 		if err := c.handshake(); err != nil {
 			return 0, &net.OpError{Op: "read", Err: err}
 		}
 		c.tls = nil
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.countHeader(p[:n], len(p)) {
+		return 0, &net.OpError{Op: "read", Err: errRefused}
+	}
+	return n, err
 }
 
 // handshake carries out the TLS handshake. The HTTP server has set the time limit for the
@@ -70,8 +88,16 @@
 	return c.SetWriteDeadline(time.Time{})
 }
 
+// serve marks that the header has been read, and with it the request if it has no body.
+// It returns false if the request must not be served.
+func (c *conn) serve(contentLength int64) (ok bool) {
+	c.contentLength = contentLength
+	return c.state.CompareAndSwap(reading, served) && (contentLength != 0 || c.entry.Serve())
+}
+
 // Close implements [net.Conn].
 func (c *conn) Close() error {
+	c.releaseHeader(closed)
 	c.server.connections.Remove(c.entry)
 	return c.Conn.Close()
 }
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -19,10 +19,9 @@
 )
 
 const (
-	// headerSlack is how far, in bytes, the limit of the HTTP server exceeds the
-	// configured header limit. It lets the router answer a request just above the
-	// configured limit with an error that includes a remedy.
-	headerSlack = 64 << 10
+	// RouterSlack is how far, in bytes, the limit of a server should exceed that of its
+	// router, which answers a larger header with an error that includes a remedy.
+	RouterSlack = 16 << 10
 	// reportInterval is the least time between two events about refused connections.
 	reportInterval = 10 * time.Second
 	// maxRefusing is the maximum number of new connections that are being refused with a
@@ -34,11 +33,12 @@
 const (
 	displaced refusalReason = iota
 	tableFull
+	headerRefused
 	numRefusals
 )
 
 // refusalNames are the values of the label reason in metrics.
-var refusalNames = [numRefusals]string{"displaced", "full"}
+var refusalNames = [numRefusals]string{"displaced", "full", "header_memory"}
 
 type (
 	// refusalReason is why a connection is closed or refused.
@@ -47,7 +47,8 @@
 	// ServerConfig configures a server.
 	ServerConfig struct {
 		Handler http.Handler
-		// HeaderBytes is the maximum size of a request header.
+		// HeaderBytes is the maximum size of a request header. Larger ones are answered
+		// with status 431.
 		HeaderBytes int
 		// ReadTime is the time limit for reading a request header.
 		ReadTime time.Duration
@@ -67,12 +68,16 @@
 		// more, the one that has waited longest for a request is closed. If it is zero,
 		// the number is that of callers of an instance with the default limits.
 		Connections int
+		// Headers is the budget for large headers. If it is nil, the server has one of
+		// an instance with the default limits.
+		Headers *footprint.Budget
 	}
 
 	// Server is an HTTP server that bounds what its connections take together.
 	Server struct {
 		*http.Server
 		tls         *tls.Config
+		headers     *footprint.Budget
 		connections *connection.Table[*conn]
 		refusals    [numRefusals]atomic.Uint64
 		// replies are the goroutines that refuse new connections, and refusing their
@@ -99,7 +104,10 @@
 
 // NewServer returns an HTTP server with the configured connection limits.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{tls: cfg.TLS, record: cfg.Record}
+	s := &Server{tls: cfg.TLS, headers: cfg.Headers, record: cfg.Record}
+	if s.headers == nil {
+		s.headers = footprint.NewHeaderBudget(footprint.Limits{})
+	}
 	if cfg.Connections <= 0 {
 		cfg.Connections = footprint.Limits{}.CallerConnections()
 	}
@@ -111,9 +119,14 @@
 		Handler:           s.trackRequests(cfg.Handler),
 		ReadHeaderTimeout: cfg.ReadTime,
 		IdleTimeout:       cfg.IdleTime,
-		MaxHeaderBytes:    cfg.HeaderBytes + headerSlack,
+		MaxHeaderBytes:    cfg.HeaderBytes,
 		ConnContext:       withConn,
-		ErrorLog:          log.New(errorWriter{s.record}, "", 0),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				c.(*conn).nextRequest()
+			}
+		},
+		ErrorLog: log.New(errorWriter{s.record}, "", 0),
 	}
 	return s
 }
@@ -179,7 +192,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		if r.ContentLength == 0 && !c.entry.Serve() {
+		if !c.serve(r.ContentLength) {
 			panic(http.ErrAbortHandler) // the connection is closed; a return would be a reply
 		}
 		defer func() { c.entry.Wait(time.Now()) }() // the reply may be read slowly
@@ -198,7 +211,8 @@
 	n := s.Connections()
 	c := metric.Clients{
 		Waiting: n.Waiting, Serving: n.Serving, MaxConnections: n.Limit,
-		Refused: map[string]uint64{},
+		Refused:      map[string]uint64{},
+		HeaderMemory: s.headers.Used(), MaxHeaderMemory: s.headers.Limit(),
 	}
 	for reason, name := range refusalNames {
 		c.Refused[name] = s.refusals[reason].Load()
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -14,10 +14,13 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/connection"
+	"github.com/lovagecrank/lovagecrank/footprint"
 )
 
-// bounded returns bounds of a number of connections.
-func bounded(connections int) Bounds { return Bounds{Connections: connections} }
+// bounded returns bounds of a number of connections, and of 80 KiB for headers.
+func bounded(connections int) Bounds {
+	return Bounds{Connections: connections, Headers: footprint.NewHeaderBudget(footprint.Limits{InstanceBytes: 800 << 10})}
+}
 
 // startServer serves h until the test ends, and returns its address.
 func startServer(t *testing.T, bounds Bounds, h http.HandlerFunc) (*Server, string) {
@@ -75,8 +78,6 @@
 	return reply.StatusCode
 }
 
-const headerLimit = 16 << 10
-
 const smallRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // isClosed reports whether the server closes a connection.
--- a/metric/collector.go
+++ b/metric/collector.go
@@ -29,6 +29,9 @@
 		Waiting, Serving, MaxConnections int
 		// Refused counts the connections that were closed or refused, by reason.
 		Refused map[string]uint64
+		// HeaderMemory and MaxHeaderMemory are the bytes that headers take, and that
+		// they may take.
+		HeaderMemory, MaxHeaderMemory int64
 	}
 
 	// Class holds the statistics of one class.
@@ -121,6 +124,8 @@
 	for reason, n := range c.Refused {
 		dst.add(refusedConnections, float64(n), reason)
 	}
+	dst.add(headerMemory, float64(c.HeaderMemory), "used")
+	dst.add(headerMemory, float64(c.MaxHeaderMemory), "limit")
 }
 
 // addInstance adds the metrics that both kinds of instances have.
--- a/metric/table.go
+++ b/metric/table.go
@@ -47,6 +47,7 @@
 	viewSlots
 	connections
 	refusedConnections
+	headerMemory
 	numMetrics
 )
 
@@ -125,5 +126,6 @@
 	viewAge:              {"lovagecrank_view_age_seconds", gauge, "seconds", []string{"data_centre"}, "On the platform: the age of the view of a data centre by which jobs are admitted. It is missing if there is none, as in installations of up to 17 instances.", "If it exceeds 1, or is missing for one data centre, check the links to it and its two largest instances."},
 	viewSlots:            {"lovagecrank_view_slots", gauge, "slots", []string{"data_centre", "service", "state"}, "On the platform: slots of a data centre by that view, by state: all or free.", "If instances differ, see lovagecrank_view_age_seconds."},
 	connections:          {"lovagecrank_connections", gauge, "connections", []string{"state"}, "Connections of callers by state: waiting for a whole request, serving one, or limit, the maximum of both.", "If serving nears limit, new callers are refused: add instances."},
-	refusedConnections:   {"lovagecrank_refused_connections_total", counter, "connections", []string{"reason"}, "Connections of callers that were closed or refused by reason: displaced, the one that had waited longest when there were too many; full, a new one while all were serving.", "If it rises, look at what the clients send; see event LC2091."},
+	refusedConnections:   {"lovagecrank_refused_connections_total", counter, "connections", []string{"reason"}, "Connections of callers that were closed or refused by reason: displaced, the one that had waited longest when there were too many; full, a new one while all were serving; header_memory, one whose header found no memory.", "If it rises, look at what the clients send; see event LC2091."},
+	headerMemory:         {"lovagecrank_header_memory_bytes", gauge, "bytes", []string{"state"}, "Memory for the headers of requests beyond that of usual ones, as estimated from their lines and bytes, by state: used or limit.", "If used nears limit, requests with large headers are refused."},
 }
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -64,7 +64,7 @@
 func NewServer(h http.Handler, bounds httpapi.Bounds, t *tls.Config, record func(event.Record)) *httpapi.Server {
 	return httpapi.NewServer(httpapi.ServerConfig{
 		Handler:     h,
-		HeaderBytes: maxHeaderBytes,
+		HeaderBytes: maxHeaderBytes + httpapi.RouterSlack,
 		ReadTime:    readTimeout,
 		IdleTime:    idleTimeout,
 		TLS:         t,
--- a/runner/run.go
+++ b/runner/run.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lovagecrank/lovagecrank/event"
+	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/internal/httpapi"
 )
 
@@ -103,13 +104,14 @@
 // servers returns the HTTP servers for callers, the readiness probe and metrics,
 // in the order of the listeners.
 func (r *Runner) servers() []*httpapi.Server {
+	headers := footprint.NewHeaderBudget(r.cfg.Limits)
 	serve := func(h http.Handler, connections int) *httpapi.Server {
 		return httpapi.NewServer(httpapi.ServerConfig{
 			Handler:     h,
 			HeaderBytes: maxHeaderBytes,
 			ReadTime:    headerTimeout,
 			IdleTime:    idleTimeout,
-			Bounds:      httpapi.Bounds{Connections: connections},
+			Bounds:      httpapi.Bounds{Connections: connections, Headers: headers},
 			Record:      func(e event.Record) { r.Record(time.Now(), e) },
 		})
 	}
