Reserve the memory of a body as it arrives

What callers saw: while clients announce bodies that they don't send, ordinary jobs are refused with LC1008 for up to ten seconds. A body that is announced far over the limit is read up to the limit before it is refused.

Cause: the announced length was reserved before the first byte, and a length over the limit as if it were the limit.

Ruled out: refusing by the number of unfinished bodies, which a caller on a slow connection would meet.

Otherwise memory is reserved in steps as the body arrives, and a body of more than 4 KiB may fill only three quarters of the budget until it is complete, so that usual jobs keep room. A client whose body was not read gets its reply: the connection is drained for half a second at most, since unread bytes would reset it.

--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -17,6 +17,12 @@
 	// connections, messages and what is known of endpoints.
 	jobShare = 0.25
 
+	// arrivingShare is the share of that to which bodies may fill it that have not arrived
+	// whole, except those of at most SmallBodyBytes.
+	arrivingShare = 0.75
+	// SmallBodyBytes is the size of a small body: several times that of a usual job.
+	SmallBodyBytes = 4 << 10
+
 	// taskBytes is what an open task takes: its state, its name, its places in maps
 	// and lists, and its run with the messages about it.
 	taskBytes = 1 << 10
@@ -80,10 +86,23 @@
 
 // Reserve takes a number of bytes and reports whether they were left. The caller
 // releases what it has reserved.
-func (b *Budget) Reserve(n int64) (ok bool) {
+func (b *Budget) Reserve(n int64) (ok bool) { return b.reserve(n, b.limit) }
+
+// ReserveArriving is like Reserve, for the next bytes of a body that has size bytes with
+// them. All bodies but small ones leave a part of the budget to others, since they may
+// never be complete.
+func (b *Budget) ReserveArriving(n, size int64) (ok bool) {
+	limit := b.limit
+	if size > SmallBodyBytes {
+		limit = int64(arrivingShare * float64(limit))
+	}
+	return b.reserve(n, limit)
+}
+
+func (b *Budget) reserve(n, limit int64) (ok bool) {
 	for {
 		used := b.used.Load()
-		if n > b.limit-used {
+		if n > limit-used {
 			return false
 		}
 		if b.used.CompareAndSwap(used, used+n) {
--- a/internal/httpapi/conn.go
+++ b/internal/httpapi/conn.go
@@ -22,6 +22,9 @@
 	// the connection is reset otherwise.
 	refusalDrainTime  = 10 * time.Millisecond
 	refusalDrainBytes = 64 << 10
+	// bodyDrainTime and bodyDrainBytes are the same for a client whose body was not read.
+	bodyDrainTime  = 500 * time.Millisecond
+	bodyDrainBytes = 512 << 10
 )
 
 // The states of a request: its header is read, it is served, or it was refused before it
@@ -46,7 +49,9 @@
 		tls *tls.Conn
 		// entry is the place in the server's table.
 		entry *connection.Entry[*conn]
-		state atomic.Int32
+		// unread means that a part of the request's body was not read.
+		unread atomic.Bool
+		state  atomic.Int32
 		header
 	}
 
@@ -97,6 +102,9 @@
 
 // Close implements [net.Conn].
 func (c *conn) Close() error {
+	if c.unread.Swap(false) {
+		drain(c.Conn, time.Now().Add(bodyDrainTime), bodyDrainBytes)
+	}
 	c.releaseHeader(closed)
 	c.server.connections.Remove(c.entry)
 	return c.Conn.Close()
@@ -122,8 +130,16 @@
 	_ = c.SetDeadline(now.Add(refusalDrainTime))
 	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %d\r\nConnection: close\r\n\r\n%s",
 		len(body), int64((f.RetryAfter+time.Second-1)/time.Second), body)
-	if err == nil && closeWrite(c) == nil {
-		_, _ = io.CopyN(io.Discard, c, refusalDrainBytes)
+	if err == nil {
+		drain(c, now.Add(refusalDrainTime), refusalDrainBytes)
+	}
+}
+
+// drain reads what a client still sends after its reply, up to a number of bytes: unread
+// bytes would reset the connection, and the reply might be lost.
+func drain(c net.Conn, end time.Time, limit int64) {
+	if closeWrite(c) == nil && c.SetReadDeadline(end) == nil {
+		_, _ = io.CopyN(io.Discard, c, limit)
 	}
 }
 
--- a/internal/httpapi/header.go
+++ b/internal/httpapi/header.go
@@ -128,6 +128,7 @@
 	}
 	c.scan = headerScan{bytes: int(ahead), lines: min(c.bufferLines, int(ahead))}
 	c.body = 0
+	c.unread.Store(false)
 	c.state.Store(reading)
 	if !c.reserveHeader() && c.state.CompareAndSwap(reading, refused) {
 		c.refuse()
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -143,6 +143,21 @@
 	is.Equal(status(send(t, address, smallRequest)), http.StatusOK)
 }
 
+// TestRefusalOfUnreadBodyArrives: the reply to a request whose body was not read was lost, as
+// unread bytes reset the connection.
+func TestRefusalOfUnreadBodyArrives(t *testing.T) {
+	_, address := startServer(t, bounded(10), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	for range 50 {
+		reply, err := http.Post("http://"+address, "", strings.NewReader(strings.Repeat(" ", 300_000)))
+		is.New(t).NoErr(err)
+		is.New(t).Equal(reply.StatusCode, http.StatusRequestEntityTooLarge)
+		_ = reply.Body.Close()
+	}
+}
+
 // BenchmarkRequest measures a request on a kept connection, with the limits and with the
 // server of net/http alone.
 func BenchmarkRequest(b *testing.B) {
--- a/runner/memory.go
+++ b/runner/memory.go
@@ -15,6 +15,13 @@
 	memoryRetrySpread = time.Second
 )
 
+// BodyMemory is the memory that is reserved for a body while it arrives.
+type BodyMemory struct {
+	runner *Runner
+	id     string
+	size   int64
+}
+
 // reserveJob reserves the memory of a job until it is answered.
 func (r *Runner) reserveJob(j pool.Job) (release func(), f *fault.Error) {
 	size := j.Size()
@@ -31,8 +38,32 @@
 		return nil, fault.New(fault.JobTooLarge, "the job needs %d bytes, more than the %d for all jobs", bytes, limit)
 	}
 	if !r.memory.Reserve(bytes) {
-		after := memoryRetryAfter + time.Duration(admission.HashFraction(id)*float64(memoryRetrySpread))
-		return nil, fault.New(fault.QueueFull, "the job needs %d bytes, and the open jobs take %d of %d", bytes, r.memory.Used(), r.memory.Limit()).WithRetryAfter(after)
+		return nil, r.memoryFull(id, bytes)
 	}
 	return func() { r.memory.Release(bytes) }, nil
 }
+
+func (r *Runner) memoryFull(id string, bytes int64) *fault.Error {
+	after := memoryRetryAfter + time.Duration(admission.HashFraction(id)*float64(memoryRetrySpread))
+	return fault.New(fault.QueueFull, "the job needs %d bytes, and the open jobs take %d of %d", bytes, r.memory.Used(), r.memory.Limit()).WithRetryAfter(after)
+}
+
+// NewBodyMemory returns the memory of the body of a submission, of which nothing has
+// arrived.
+func (r *Runner) NewBodyMemory(id string) *BodyMemory { return &BodyMemory{runner: r, id: id} }
+
+// Grow reserves memory for a body of which size bytes may have arrived, or returns why it
+// is refused.
+func (b *BodyMemory) Grow(size int64) *fault.Error {
+	if !b.runner.memory.ReserveArriving(size-b.size, size) {
+		return b.runner.memoryFull(b.id, size)
+	}
+	b.size = size
+	return nil
+}
+
+// Release returns all that is reserved.
+func (b *BodyMemory) Release() {
+	b.runner.memory.Release(b.size)
+	b.size = 0
+}
