Drop the trailer of a request when it has been read

Suspected, not seen by callers: net/http keeps the trailer of a chunked body on the request while the job runs, up to 4 KiB of short lines, and nothing counts it.

Cause and change: nobody reads trailers; the body's reader drops them at its end. TestTrailerIsDropped fails without it. Decoding one is short-lived and is left to the collector.

--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -197,7 +197,7 @@
 		}
 		defer func() { c.entry.Wait(time.Now()) }() // the reply may be read slowly
 		if r.ContentLength != 0 {
-			body := &requestBody{ReadCloser: r.Body, conn: c}
+			body := &requestBody{ReadCloser: r.Body, conn: c, request: r}
 			defer func() { c.unread.Store(!body.ended) }()
 			r.Body = body
 		}
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -143,6 +143,18 @@
 	is.Equal(status(send(t, address, smallRequest)), http.StatusOK)
 }
 
+// TestTrailerIsDropped: the trailer of a request was kept while the request was served.
+func TestTrailerIsDropped(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, bounded(2), func(_ http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "body")
+		is.Equal(len(r.Trailer), 0)
+	})
+	is.Equal(status(send(t, address, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\na:b\r\nc:d\r\n\r\n")), http.StatusOK)
+}
+
 // TestRefusalOfUnreadBodyArrives: the reply to a request whose body was not read was lost, as
 // unread bytes reset the connection.
 func TestRefusalOfUnreadBodyArrives(t *testing.T) {
