Give up a reply that the client doesn't read for ten seconds

Suspected, not seen by callers: a client that reads nothing blocks the write of its reply for good, and with it a goroutine, and at the metrics listener one of its few connections.

Cause and change: writes had no time limit. Each has one of ten seconds now, from its own start, so that a long reply to a slow reader is not cut. TestUnreadReplyIsGivenUp fails without it.

--- a/internal/httpapi/conn.go
+++ b/internal/httpapi/conn.go
@@ -76,6 +76,14 @@
 	return n, err
 }
 
+// Write implements [io.Writer]. A client that reads nothing must not hold a reply for good.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.server.writeTime)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // handshake carries out the TLS handshake. The HTTP server has set the time limit for the
 // first header, which is that of reading from the client, too.
 func (c *conn) handshake() error {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -24,6 +24,8 @@
 	RouterSlack = 16 << 10
 	// reportInterval is the least time between two events about refused connections.
 	reportInterval = 10 * time.Second
+	// DefaultWriteTime is how long a client may read nothing of its reply.
+	DefaultWriteTime = 10 * time.Second
 	// maxRefusing is the maximum number of new connections that are being refused with a
 	// reply.
 	maxRefusing = 16
@@ -54,6 +56,9 @@
 		ReadTime time.Duration
 		// IdleTime is how long a connection without a request stays open.
 		IdleTime time.Duration
+		// WriteTime is how long a client may read nothing of its reply. If it is zero, it
+		// is DefaultWriteTime.
+		WriteTime time.Duration
 		// TLS is the TLS configuration. It is nil for plain TCP.
 		TLS *tls.Config
 		Bounds
@@ -78,6 +83,7 @@
 		*http.Server
 		tls         *tls.Config
 		headers     *footprint.Budget
+		writeTime   time.Duration
 		connections *connection.Table[*conn]
 		refusals    [numRefusals]atomic.Uint64
 		// replies are the goroutines that refuse new connections, and refusing their
@@ -104,7 +110,10 @@
 
 // NewServer returns an HTTP server with the configured connection limits.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{tls: cfg.TLS, headers: cfg.Headers, record: cfg.Record}
+	s := &Server{tls: cfg.TLS, headers: cfg.Headers, writeTime: cfg.WriteTime, record: cfg.Record}
+	if s.writeTime <= 0 {
+		s.writeTime = DefaultWriteTime
+	}
 	if s.headers == nil {
 		s.headers = footprint.NewHeaderBudget(footprint.Limits{})
 	}
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -143,6 +143,25 @@
 	is.Equal(status(send(t, address, smallRequest)), http.StatusOK)
 }
 
+// TestUnreadReplyIsGivenUp: a client that read nothing of its reply held it for good.
+func TestUnreadReplyIsGivenUp(t *testing.T) {
+	written := make(chan error, 1)
+	s, address := startServer(t, bounded(2), func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for part := make([]byte, 1<<20); err == nil; {
+			_, err = w.Write(part)
+		}
+		written <- err
+	})
+	s.writeTime = 50 * time.Millisecond
+	send(t, address, smallRequest)
+	select {
+	case <-written:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the reply is still being written")
+	}
+}
+
 // TestTrailerIsDropped: the trailer of a request was kept while the request was served.
 func TestTrailerIsDropped(t *testing.T) {
 	is := is.New(t)
