Tell the collector the memory of the instance

Cause: the budgets bound what is in use; the collector lets the heap grow to twice of that, and buffers that grow leave garbage.

Ruled out: a limit of eight tenths: 92 MiB in that case, too near, since the runtime doesn't count the program itself (about 18 MB).

Change: the collector is told seven tenths of limits.memoryMb, unless GOMEMLIMIT is set: 82 MiB of 96.

--- a/command/join.go
+++ b/command/join.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"runtime/pprof"
 	"time"
 
@@ -66,6 +67,14 @@
 	}, nil
 }
 
+// limitCollector tells the collector the memory that the instance may use, unless that is
+// not known or the environment sets a limit.
+func limitCollector(l footprint.Limits) {
+	if l.InstanceBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(l.CollectorBytes())
+	}
+}
+
 // join runs an instance on the platform. The first SIGINT or SIGTERM stops it
 // gracefully, the second at once.
 func join(ctx context.Context, s streams, o joinOptions) error {
@@ -75,6 +84,7 @@
 		return err
 	}
 	cfg.Runner.Limits.JobTasks = o.jobTasks
+	limitCollector(cfg.Runner.Limits)
 	stop, force, cleanup := stopSignals(ctx)
 	defer cleanup()
 
--- a/footprint/connection.go
+++ b/footprint/connection.go
@@ -8,6 +8,9 @@
 	// connectionHeaderBytes each, and connectionShare that of connections.
 	headerShare     = 0.1
 	connectionShare = 0.3
+	// collectorShare is the share of an instance's memory at which the collector does
+	// its utmost. The rest is for stacks of threads and for what the collector lags.
+	collectorShare = 0.7
 	// connectionBytes is what a connection takes, with its buffers, the stack of its
 	// goroutine and a usual header.
 	connectionBytes = 40 << 10
@@ -54,3 +57,8 @@
 func (l Limits) MonitorConnections() int {
 	return min(int(monitorShare*float64(l.WithDefaults().Descriptors)), maxMonitors)
 }
+
+// CollectorBytes returns the memory in bytes that the runtime is told to stay within.
+func (l Limits) CollectorBytes() int64 {
+	return int64(collectorShare * float64(l.WithDefaults().InstanceBytes))
+}
