Bound what callers and operators of serve take together

What callers saw: 500 clients with short lines took 173 MB of an instance that serve runs; bodies, 8 MiB each, were bounded for one request only.

Cause: serve had no setting for memory or descriptors, and counted neither headers, bodies nor connections over all of them.

Change: the settings limits.memory (1 GiB) and limits.descriptors (4,096); the limits of connections and headers follow from them. Bodies reserve three bytes for one as they arrive, and until they are answered, from a quarter of the memory; those of more than 4 KiB leave a quarter of that to others. The collector is told seven tenths. What doesn't fit is refused as queue_full, not run.

Evidence: TestFloodOfListeners, 450 to 640 connections at 160 MiB and 512 descriptors, body limit 1 MiB.

--- a/command/serve.go
+++ b/command/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/serve"
 )
 
@@ -20,6 +21,7 @@
 		if err != nil {
 			return err
 		}
+		limitCollector(footprint.Limits{InstanceBytes: cfg.Limits.Memory})
 		stop, force, cleanup := stopSignals(ctx)
 		defer cleanup()
 		logger := log.With(newLogger(s.err), "instance", cfg.Instance.ID)
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -76,6 +76,9 @@
 		// Headers is the budget for large headers. If it is nil, the server has one of
 		// an instance with the default limits.
 		Headers *footprint.Budget
+		// Bodies is the budget for bodies that arrive, and for what is decoded from them
+		// until they are answered. If it is nil, the handler counts them.
+		Bodies *footprint.Budget
 	}
 
 	// Server is an HTTP server that bounds what its connections take together.
@@ -83,6 +86,7 @@
 		*http.Server
 		tls         *tls.Config
 		headers     *footprint.Budget
+		bodies      *footprint.Budget
 		writeTime   time.Duration
 		connections *connection.Table[*conn]
 		refusals    [numRefusals]atomic.Uint64
@@ -110,7 +114,7 @@
 
 // NewServer returns an HTTP server with the configured connection limits.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{tls: cfg.TLS, headers: cfg.Headers, writeTime: cfg.WriteTime, record: cfg.Record}
+	s := &Server{tls: cfg.TLS, headers: cfg.Headers, bodies: cfg.Bodies, writeTime: cfg.WriteTime, record: cfg.Record}
 	if s.writeTime <= 0 {
 		s.writeTime = DefaultWriteTime
 	}
@@ -207,7 +211,10 @@
 		defer func() { c.entry.Wait(time.Now()) }() // the reply may be read slowly
 		if r.ContentLength != 0 {
 			body := &requestBody{ReadCloser: r.Body, conn: c, request: r}
-			defer func() { c.unread.Store(!body.ended) }()
+			defer func() {
+				c.unread.Store(!body.ended)
+				body.release()
+			}()
 			r.Body = body
 		}
 		h.ServeHTTP(w, r)
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -174,6 +174,28 @@
 	is.Equal(status(send(t, address, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\na:b\r\nc:d\r\n\r\n")), http.StatusOK)
 }
 
+// TestBodiesTogetherExceedMemory: bodies below the limit took more memory together than the
+// instance has.
+func TestBodiesTogetherExceedMemory(t *testing.T) {
+	is := is.New(t)
+	bounds := bounded(100)
+	bounds.Bodies = footprint.NewBudget(footprint.Limits{InstanceBytes: 1200 << 10}) // 225 KiB for bodies that arrive
+	s, address := startServer(t, bounds, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			writeError(w, r, nil, err)
+		}
+	})
+	const header = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+	first := send(t, address, header+strings.Repeat(" ", 59000))
+	waitFor(t, func() bool { return bounds.Bodies.Used() >= 3*59000 })
+	is.Equal(status(send(t, address, header+strings.Repeat(" ", 60000))), http.StatusServiceUnavailable)
+	is.Equal(status(send(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")), http.StatusOK) // a small one is served
+	_, err := io.WriteString(first, strings.Repeat(" ", 1000))
+	is.NoErr(err)
+	is.Equal(status(first), http.StatusOK)
+	waitFor(t, func() bool { return s.Connections().Serving == 0 && bounds.Bodies.Used() == 0 })
+}
+
 // TestRefusalOfUnreadBodyArrives: the reply to a request whose body was not read was lost, as
 // unread bytes reset the connection.
 func TestRefusalOfUnreadBodyArrives(t *testing.T) {
--- /dev/null
+++ b/serve/flood_test.go
@@ -0,0 +1,129 @@
+package serve
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovagecrank/lovagecrank/internal/flood"
+	"github.com/lovagecrank/lovagecrank/standin"
+)
+
+var (
+	floodConnections = flag.Int("flood-connections", 450, "number of misbehaving connections that are held at the same time")
+	floodMemoryMB    = flag.Int("flood-memory", 160, "limit of the instance's memory in MiB")
+	floodDescriptors = flag.Int("flood-descriptors", 512, "limit of the instance's descriptors")
+)
+
+// floodRetries is how often an ordinary caller sends its job again.
+const floodRetries = 10
+
+// floodedInstance is an instance that runs as a process of its own.
+type floodedInstance struct {
+	*flood.Process
+	callers, operators netip.AddrPort
+}
+
+func newFloodedInstance(t *testing.T) *floodedInstance {
+	t.Helper()
+	c := &cluster{t: t, platform: standin.NewPlatform(standin.PlatformOptions{})}
+	platform := httptest.NewServer(c.platform)
+	t.Cleanup(platform.Close)
+	c.configure(addressOfServer(platform))
+	c.addEndpoint(0)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
+	n := &floodedInstance{callers: netip.AddrPortFrom(ip, 7100), operators: netip.AddrPortFrom(ip, 7101)}
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	err := os.WriteFile(path, fmt.Appendf(nil, `instance: {id: entry-0, data_centre: dc, rack: r}
+listeners: {caller: %q, operator: %q, peer: "%s:7102"}
+platform: {addresses: [%q]}
+limits: {memory: %dMiB, descriptors: %d, body_bytes: 1MiB}
+`, n.callers, n.operators, ip, addressOfServer(platform), *floodMemoryMB, *floodDescriptors), 0o600)
+	is.New(t).NoErr(err)
+	n.Process = flood.Start(t, *floodDescriptors, "serve", "-config", path)
+	c.waitUntil("answered", func() bool { return n.submit(t) == http.StatusOK })
+	return n
+}
+
+// submit submits an ordinary job on a connection of its own and returns the status.
+func (n *floodedInstance) submit(t *testing.T) int {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.callers.String()+"/v1/jobs", bytes.NewReader(feeJob("", "urgent", 1, 0)))
+	is.New(t).NoErr(err)
+	req.Close = true
+	client := http.Client{Timeout: testTimeout}
+	reply, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = reply.Body.Close()
+	return reply.StatusCode
+}
+
+// check checks an instance while the crowd is there.
+func (n *floodedInstance) check(t *testing.T, flooded netip.AddrPort) {
+	t.Helper()
+	flood.Settle(flooded)
+	answered := false
+	for i := 0; i < floodRetries && !answered; i++ {
+		status := n.submit(t)
+		if answered = status == http.StatusOK; !answered {
+			t.Logf("the ordinary job: status %d", status)
+			time.Sleep(time.Second)
+		}
+	}
+	peak, open := n.PeakBytes(), n.Descriptors()
+	t.Logf("peak %d MiB of %d, %d descriptors of %d", peak>>20, *floodMemoryMB, open, *floodDescriptors)
+	switch {
+	case !n.Alive():
+		t.Errorf("the process ended: %s", n.Log())
+	case peak > int64(*floodMemoryMB)<<20:
+		t.Errorf("the process took %d MiB of %d", peak>>20, *floodMemoryMB)
+	case open > *floodDescriptors*7/8:
+		t.Errorf("%d of %d descriptors are taken", open, *floodDescriptors)
+	}
+	if !answered {
+		t.Error("an ordinary job was not answered")
+	}
+}
+
+// TestFloodOfListeners: clients that don't behave took all memory or all descriptors of
+// an instance, at the listener of callers and at that of operators.
+func TestFloodOfListeners(t *testing.T) {
+	callers := flood.Target{Host: "h.example", Read: "/readyz", Submit: "/v1/jobs?n=%016x", Job: string(feeJob("", "urgent", 1, 0))}
+	operators := flood.Target{Host: "h.example", Read: "/v1/classes", Submit: "/v1/classes/%016x", Job: "{}"}
+	listeners := []struct {
+		name    string
+		target  flood.Target
+		kinds   []flood.Kind
+		address func(*floodedInstance) netip.AddrPort
+	}{
+		{"callers", callers, append(append(append(flood.Headers()[:2], flood.ShortLines()), flood.Trailers()...), flood.Bodies()[1:3]...), func(n *floodedInstance) netip.AddrPort { return n.callers }},
+		{"operators", operators, append(flood.Headers()[:2], flood.UnreadReplies()...), func(n *floodedInstance) netip.AddrPort { return n.operators }},
+	}
+	for _, l := range listeners {
+		for _, kind := range l.kinds {
+			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
+				n := newFloodedInstance(t)
+				flood.Hold(t, l.address(n), l.target, kind, *floodConnections)
+				n.check(t, l.address(n))
+			})
+		}
+		for _, kind := range flood.Connections() {
+			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
+				n := newFloodedInstance(t)
+				flood.Hold(t, l.address(n), l.target, kind, *floodDescriptors*5/4)
+				n.check(t, l.address(n))
+			})
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/lovagecrank/lovagecrank/footprint"
 )
 
 type (
@@ -76,6 +78,10 @@
 		WaitTime time.Duration
 		// WaitingTasks is the number of tasks that may wait on the instance.
 		WaitingTasks int
+		// Memory is the memory in bytes that the instance may use, and Descriptors the
+		// number of descriptors that it may open.
+		Memory      int64
+		Descriptors int
 	}
 
 	// Timeouts bounds how long the instance waits.
@@ -133,6 +139,8 @@
 			ReadTime:     10 * time.Second,
 			WaitTime:     5 * time.Minute,
 			WaitingTasks: 100_000,
+			Memory:       1 << 30,
+			Descriptors:  footprint.DefaultDescriptors,
 		},
 		Timeouts: Timeouts{
 			Connect:   time.Second,
--- a/settings/table.go
+++ b/settings/table.go
@@ -57,6 +57,8 @@
 	duration("limits.idle_time", "How long a caller's connection may stay without a request.", func(s *Settings) *time.Duration { return &s.Limits.IdleTime }),
 	duration("limits.read_time", "How long a request may take to arrive.", func(s *Settings) *time.Duration { return &s.Limits.ReadTime }),
 	duration("limits.wait_time", "How long one request waits for a result; the caller can ask again afterwards.", func(s *Settings) *time.Duration { return &s.Limits.WaitTime }),
+	size("limits.memory", "The memory that the instance may use. Connections, headers and bodies are refused beyond their shares of it.", func(s *Settings) *int64 { return &s.Limits.Memory }),
+	count("limits.descriptors", "The number of files and connections that the instance may have open. Callers get three quarters of it.", func(s *Settings) *int { return &s.Limits.Descriptors }),
 	count("limits.waiting_tasks", "The maximum number of tasks that wait on the instance.", func(s *Settings) *int { return &s.Limits.WaitingTasks }),
 
 	duration("timeouts.connect", "How long setting up a connection may take.", func(s *Settings) *time.Duration { return &s.Timeouts.Connect }),
