Keep a connection until the reply to its request is sent

What callers would have seen: with as many connections as the limit, all served, the one whose request has just been served waits, and is closed for a new one before its reply is sent. The job is done, and its caller gets a broken connection and sends it again.

Cause: since a connection waited from the return of the handler on; net/http sends the rest of the reply after that.

Ruled out: keeping it until net/http reports the connection as idle: a client that reads nothing would be served for up to ten seconds.

Change: after the handler's return a connection waits only a second later, or when net/http reports it as idle. The table is told since when, and when now is.

--- a/connection/table.go
+++ b/connection/table.go
@@ -1,7 +1,6 @@
 package connection
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,13 +41,13 @@
 func NewTable[C any](limit int) *Table[C] { return &Table[C]{limit: max(limit, 1)} }
 
 // Add adds a connection that waits for its first request since now. If the table is full,
-// it removes the connection that has waited longest and returns its entry as displaced.
-// If none waits, it adds nothing and returns a nil entry.
+// it removes the connection that has waited longest at now and returns its entry as
+// displaced. If none waits, it adds nothing and returns a nil entry.
 func (t *Table[C]) Add(now time.Time, conn C) (e, displaced *Entry[C]) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.entries) >= t.limit {
-		displaced = t.displace()
+		displaced = t.displace(now)
 		if displaced == nil {
 			return nil, nil
 		}
@@ -59,13 +58,13 @@
 	return e, displaced
 }
 
-// displace removes the entry that has waited longest and returns it, or nil if none
-// waits. An entry may begin to serve meanwhile, and then the search starts again. The
+// displace removes the entry that has waited longest at now and returns it, or nil if
+// none waits. An entry may begin to serve meanwhile, and then the search starts again. The
 // caller holds t.mu.
-func (t *Table[C]) displace() *Entry[C] {
+func (t *Table[C]) displace(now time.Time) *Entry[C] {
 	for {
 		var longest *Entry[C]
-		since := int64(math.MaxInt64)
+		since := now.UnixNano() + 1
 		for _, e := range t.entries {
 			if s := e.state.Load(); s != serving && s < since {
 				longest, since = e, s
@@ -132,11 +131,12 @@
 	}
 }
 
-// Wait marks that the connection waits for its next request since now.
-func (e *Entry[C]) Wait(now time.Time) {
+// Wait marks that the connection waits for its next request, since a time that may be in
+// the future: the connection is kept until then.
+func (e *Entry[C]) Wait(start time.Time) {
 	for {
 		since := e.state.Load()
-		if since == removed || e.state.CompareAndSwap(since, now.UnixNano()) {
+		if since == removed || e.state.CompareAndSwap(since, start.UnixNano()) {
 			return
 		}
 	}
--- a/connection/table_test.go
+++ b/connection/table_test.go
@@ -28,6 +28,16 @@
 			e[0].Serve()
 			e[0].Wait(at(4))
 		}, want: "b"},
+		{name: "two are being answered", change: func(_ *Table[string], e []*Entry[string]) {
+			e[0].Wait(at(6))
+			e[1].Wait(at(5))
+			e[2].Wait(at(6))
+		}, want: "b"},
+		{name: "all are being answered", change: func(_ *Table[string], e []*Entry[string]) {
+			for _, entry := range e {
+				entry.Wait(at(6))
+			}
+		}, refused: true},
 		{name: "only the last waits", change: func(_ *Table[string], e []*Entry[string]) {
 			e[0].Serve()
 			e[1].Serve()
--- a/internal/httpapi/header.go
+++ b/internal/httpapi/header.go
@@ -121,6 +121,7 @@
 // nextRequest prepares for the header of the next request, a part of which may have been
 // read with the last one.
 func (c *conn) nextRequest() {
+	c.entry.Wait(time.Now())
 	c.releaseHeader(0)
 	ahead := int64(min(c.bufferBytes, readBufferBytes))
 	if c.scan.ended && c.contentLength >= 0 {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -26,6 +26,9 @@
 	reportInterval = 10 * time.Second
 	// DefaultWriteTime is how long a client may read nothing of its reply.
 	DefaultWriteTime = 10 * time.Second
+	// replyTime is for how long a connection is kept after its request has been served, so
+	// that the reply is sent; the client may never read it.
+	replyTime = time.Second
 	// maxRefusing is the maximum number of new connections that are being refused with a
 	// reply.
 	maxRefusing = 16
@@ -208,7 +211,7 @@
 		if !c.serve(r.ContentLength) {
 			panic(http.ErrAbortHandler) // the connection is closed; a return would be a reply
 		}
-		defer func() { c.entry.Wait(time.Now()) }() // the reply may be read slowly
+		defer func() { c.entry.Wait(time.Now().Add(replyTime)) }()
 		if r.ContentLength != 0 {
 			body := &requestBody{ReadCloser: r.Body, conn: c, request: r}
 			defer func() {
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,6 +146,49 @@
 	is.Equal(status(send(t, address, smallRequest)), http.StatusOK)
 }
 
+// TestAnswerIsSentBeforeConnectionGivesWay: a connection whose request had just been served
+// was closed for a new one before its reply was sent.
+func TestAnswerIsSentBeforeConnectionGivesWay(t *testing.T) {
+	is := is.New(t)
+	end := make(chan struct{})
+	s, address := startServer(t, bounded(1), func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/job" {
+			<-end
+		}
+	})
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	for range 4 {
+		others.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", address); err == nil {
+					_ = c.Close()
+				}
+			}
+		})
+	}
+	defer others.Wait()
+	defer close(stop)
+	for range 200 {
+		var c net.Conn
+		waitFor(t, func() bool { // others may have the place
+			c = send(t, address, "GET /job HTTP/1.1\r\nHost: h\r\n\r\n")
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			return errors.Is(err, os.ErrDeadlineExceeded) && s.Connections().Serving == 1
+		})
+		_ = c.SetReadDeadline(time.Time{})
+		end <- struct{}{}
+		is.Equal(status(c), http.StatusOK)
+		_ = c.Close()
+	}
+}
+
 // TestUnreadReplyIsGivenUp: a client that read nothing of its reply held it for good.
 func TestUnreadReplyIsGivenUp(t *testing.T) {
 	written := make(chan error, 1)
