--- a/serve/flood_test.go
+++ b/serve/flood_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,8 +9,8 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -19,14 +18,8 @@
 	"github.com/lovagecrank/lovagecrank/standin"
 )
 
-var (
-	floodConnections = flag.Int("flood-connections", 450, "number of misbehaving connections that are held at the same time")
-	floodMemoryMB    = flag.Int("flood-memory", 160, "limit of the instance's memory in MiB")
-	floodDescriptors = flag.Int("flood-descriptors", 512, "limit of the instance's descriptors")
-)
-
-// floodRetries is how often an ordinary caller sends its job again.
-const floodRetries = 10
+// floodLimits are the limits of instances in flood tests.
+var floodLimits = flood.LimitFlags(160)
 
 // floodedInstance is an instance that runs as a process of its own.
 type floodedInstance struct {
@@ -48,9 +41,9 @@
 listeners: {caller: %q, operator: %q, peer: "%s:7102"}
 platform: {addresses: [%q]}
 limits: {memory: %dMiB, descriptors: %d, body_bytes: 1MiB}
-`, n.callers, n.operators, ip, addressOfServer(platform), *floodMemoryMB, *floodDescriptors), 0o600)
+`, n.callers, n.operators, ip, addressOfServer(platform), floodLimits.MemoryMB, floodLimits.Descriptors), 0o600)
 	is.New(t).NoErr(err)
-	n.Process = flood.Start(t, *floodDescriptors, "serve", "-config", path)
+	n.Process = flood.Start(t, floodLimits.Descriptors, "serve", "-config", path)
 	c.waitUntil("answered", func() bool { return n.submit(t) == http.StatusOK })
 	return n
 }
@@ -73,27 +66,7 @@
 func (n *floodedInstance) check(t *testing.T, flooded netip.AddrPort) {
 	t.Helper()
 	flood.Settle(flooded)
-	answered := false
-	for i := 0; i < floodRetries && !answered; i++ {
-		status := n.submit(t)
-		if answered = status == http.StatusOK; !answered {
-			t.Logf("the ordinary job: status %d", status)
-			time.Sleep(time.Second)
-		}
-	}
-	peak, open := n.PeakBytes(), n.Descriptors()
-	t.Logf("peak %d MiB of %d, %d descriptors of %d", peak>>20, *floodMemoryMB, open, *floodDescriptors)
-	switch {
-	case !n.Alive():
-		t.Errorf("the process ended: %s", n.Log())
-	case peak > int64(*floodMemoryMB)<<20:
-		t.Errorf("the process took %d MiB of %d", peak>>20, *floodMemoryMB)
-	case open > *floodDescriptors*7/8:
-		t.Errorf("%d of %d descriptors are taken", open, *floodDescriptors)
-	}
-	if !answered {
-		t.Error("an ordinary job was not answered")
-	}
+	n.Check(t, floodLimits, func() int { return n.submit(t) })
 }
 
 // TestFloodOfListeners: clients that don't behave took all memory or all descriptors of
@@ -107,21 +80,21 @@
 		kinds   []flood.Kind
 		address func(*floodedInstance) netip.AddrPort
 	}{
-		{"callers", callers, append(append(append(flood.Headers()[:2], flood.ShortLines()), flood.Trailers()...), flood.Bodies()[1:3]...), func(n *floodedInstance) netip.AddrPort { return n.callers }},
-		{"operators", operators, append(flood.Headers()[:2], flood.UnreadReplies()...), func(n *floodedInstance) netip.AddrPort { return n.operators }},
+		{"callers", callers, slices.Concat(flood.Headers()[:2], []flood.Kind{flood.ShortLines()}, flood.Trailers(), flood.Bodies()[1:3]), func(n *floodedInstance) netip.AddrPort { return n.callers }},
+		{"operators", operators, slices.Concat(flood.Headers()[:2], flood.UnreadReplies()), func(n *floodedInstance) netip.AddrPort { return n.operators }},
 	}
 	for _, l := range listeners {
 		for _, kind := range l.kinds {
 			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
 				n := newFloodedInstance(t)
-				flood.Hold(t, l.address(n), l.target, kind, *floodConnections)
+				flood.Hold(t, l.address(n), l.target, kind, floodLimits.Connections)
 				n.check(t, l.address(n))
 			})
 		}
 		for _, kind := range flood.Connections() {
 			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
 				n := newFloodedInstance(t)
-				flood.Hold(t, l.address(n), l.target, kind, *floodDescriptors*5/4)
+				flood.Hold(t, l.address(n), l.target, kind, floodLimits.ManyConnections())
 				n.check(t, l.address(n))
 			})
 		}
