--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -141,7 +141,9 @@
 	for _, c := range served {
 		is.Equal(status(c), http.StatusOK)
 	}
-	waitFor(t, func() bool { return s.Connections().Waiting > 0 && status(send(t, address, smallRequest)) == http.StatusOK })
+	waitFor(t, func() bool {
+		return s.Connections().Waiting > 0 && status(send(t, address, smallRequest)) == http.StatusOK
+	})
 }
 
 // TestAnswerIsSentBeforeConnectionGivesWay: a connection whose request had just been served
