--- a/internal/httpapi/conn.go
+++ b/internal/httpapi/conn.go
@@ -38,8 +38,9 @@
 var errRefused = errors.New("the request was refused")
 
 type (
-	// conn is a connection that reserves memory for the headers it reads before the
-	// HTTP server decodes them. The HTTP server never reads from two goroutines at once.
+	// conn is a connection of a Server. It knows how far its request has come, and reserves
+	// memory for a header before the HTTP server decodes it. The HTTP server never reads
+	// from two goroutines at once.
 	conn struct {
 		net.Conn
 		// tcp is the connection beneath TLS, or Conn itself.
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -24,8 +24,8 @@
 	RouterSlack = 16 << 10
 	// reportInterval is the least time between two events about refused connections.
 	reportInterval = 10 * time.Second
-	// DefaultWriteTime is how long a client may read nothing of its reply.
-	DefaultWriteTime = 10 * time.Second
+	// writeTime is how long a client may read nothing of its reply.
+	writeTime = 10 * time.Second
 	// replyTime is for how long a connection is kept after its request has been served, so
 	// that the reply is sent; the client may never read it.
 	replyTime = time.Second
@@ -59,9 +59,6 @@
 		ReadTime time.Duration
 		// IdleTime is how long a connection without a request stays open.
 		IdleTime time.Duration
-		// WriteTime is how long a client may read nothing of its reply. If it is zero, it
-		// is DefaultWriteTime.
-		WriteTime time.Duration
 		// TLS is the TLS configuration. It is nil for plain TCP.
 		TLS *tls.Config
 		Bounds
@@ -87,9 +84,10 @@
 	// Server is an HTTP server that bounds what its connections take together.
 	Server struct {
 		*http.Server
-		tls         *tls.Config
-		headers     *footprint.Budget
-		bodies      *footprint.Budget
+		tls     *tls.Config
+		headers *footprint.Budget
+		bodies  *footprint.Budget
+		// writeTime is the constant, which tests shorten.
 		writeTime   time.Duration
 		connections *connection.Table[*conn]
 		refusals    [numRefusals]atomic.Uint64
@@ -117,10 +115,7 @@
 
 // NewServer returns an HTTP server with the configured connection limits.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{tls: cfg.TLS, headers: cfg.Headers, bodies: cfg.Bodies, writeTime: cfg.WriteTime, record: cfg.Record}
-	if s.writeTime <= 0 {
-		s.writeTime = DefaultWriteTime
-	}
+	s := &Server{tls: cfg.TLS, headers: cfg.Headers, bodies: cfg.Bodies, writeTime: writeTime, record: cfg.Record}
 	if s.headers == nil {
 		s.headers = footprint.NewHeaderBudget(footprint.Limits{})
 	}
