--- a/internal/flood/check.go
+++ b/internal/flood/check.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -30,11 +31,12 @@
 func (l *Limits) ManyConnections() int { return l.Descriptors * 5 / 4 }
 
 // Check checks that the process lives within its limits and that an ordinary job is
-// answered, while the connections are held. A part of the descriptors has to be free for
-// the platform, other instances and endpoints. The function submit returns the status of
-// the reply to an ordinary job.
-func (p *Process) Check(t testing.TB, l *Limits, submit func() (status int)) {
+// answered, while the connections to the address are held. A part of the descriptors has
+// to be free for the platform, other instances and endpoints. The function submit returns
+// the status of the reply to an ordinary job.
+func (p *Process) Check(t testing.TB, l *Limits, flooded netip.AddrPort, submit func() (status int)) {
 	t.Helper()
+	settle(flooded)
 	isAnswered := answers(t, submit)
 	peak, open := p.PeakBytes(), p.Descriptors()
 	t.Logf("peak %d MiB of %d, %d descriptors of %d", peak>>20, l.MemoryMB, open, l.Descriptors)
--- a/internal/flood/kinds.go
+++ b/internal/flood/kinds.go
@@ -31,6 +31,8 @@
 	// and largeHeaderBytes one far over the limit.
 	headerBytes      = 15 << 10
 	largeHeaderBytes = 80 << 10
+	// lineBytes is the size of a line of DistinctLines.
+	lineBytes = 5
 	// readAheadBytes is less than what an HTTP server reads at a time.
 	readAheadBytes = 3500
 	// largeBodyBytes is a size far over the limit of bodies, and legalBodyBytes one
@@ -56,8 +58,8 @@
 	}
 	target := strings.Repeat("a", headerBytes)
 	return []Kind{
-		unfinished("short lines", distinctLines(headerBytes)),
-		unfinished("far over the limit", distinctLines(largeHeaderBytes)),
+		unfinished("short lines", DistinctLines(headerBytes/lineBytes)),
+		unfinished("far over the limit", DistinctLines(largeHeaderBytes/lineBytes)),
 		unfinished("lines of one name", strings.Repeat("a:b\n", headerBytes/4)),
 		unfinished("continued lines", "a:b\n"+strings.Repeat(" c\n", headerBytes/3)),
 		unfinished("one line", "a: "+target),
@@ -69,7 +71,7 @@
 // ShortLines returns the kind of whole submissions with headers of many short lines,
 // which are inside the limits.
 func ShortLines() Kind {
-	lines := distinctLines(headerBytes)
+	lines := DistinctLines(headerBytes / lineBytes)
 	return Kind{Name: "whole requests", Request: func(t Target, i int) []string {
 		return []string{post(t, i), lines, sized(t.Job)}
 	}}
@@ -78,7 +80,7 @@
 // ReadAhead returns the kinds with an unfinished header that arrives together with the
 // request before it.
 func ReadAhead() []Kind {
-	lines := distinctLines(readAheadBytes)
+	lines := DistinctLines(readAheadBytes / lineBytes)
 	return []Kind{
 		{Name: "after a request", Request: func(t Target, _ int) []string {
 			return []string{get(t) + "\r\n" + get(t) + lines}
@@ -91,7 +93,7 @@
 
 // Trailers returns the kind of submissions with trailers of many short lines.
 func Trailers() []Kind {
-	trailer := strings.ReplaceAll(distinctLines(readAheadBytes/6*5), "\n", "\r\n")
+	trailer := strings.ReplaceAll(DistinctLines(readAheadBytes/6), "\n", "\r\n")
 	return []Kind{{Name: "trailer", Request: func(t Target, i int) []string {
 		return []string{post(t, i), chunked, chunk(t.Job), "0\r\n", trailer, "\r\n"}
 	}}}
@@ -137,12 +139,11 @@
 
 func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 
-// distinctLines returns n bytes of header lines of five bytes with names that all
-// differ.
-func distinctLines(n int) string {
+// DistinctLines returns n header lines of lineBytes each with names that all differ.
+func DistinctLines(n int) string {
 	const digits = "abcdefghijklmnopqrstuvwxyz0123456789"
 	var b strings.Builder
-	for i := 0; b.Len() < n; i++ {
+	for i := range n {
 		b.WriteByte(digits[i/len(digits)/len(digits)%len(digits)])
 		b.WriteByte(digits[i/len(digits)%len(digits)])
 		b.WriteByte(digits[i%len(digits)])
--- a/internal/flood/process.go
+++ b/internal/flood/process.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -17,7 +18,7 @@
 	"time"
 )
 
-// settleTimeout is how long Settle waits at most.
+// settleTimeout is how long settle waits at most.
 const settleTimeout = 10 * time.Second
 
 // Process is a running process of the program.
@@ -27,26 +28,41 @@
 	log   string
 }
 
-// build builds the program without the race detector, which multiplies its memory,
-// and returns its path.
-var build = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "flood")
+// directory is where the program is built, or empty until then.
+var directory string
+
+// built builds the program once, without the race detector, which multiplies its memory.
+var built = sync.OnceValues(func() (path string, err error) {
+	directory, err = os.MkdirTemp("", "flood")
 	if err != nil {
 		return "", err
 	}
-	path := filepath.Join(dir, "lovagecrank")
+	return Build(directory)
+})
+
+// Build builds the program in the directory and returns its path.
+func Build(dir string) (path string, err error) {
+	path = filepath.Join(dir, "lovagecrank")
 	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", path, "github.com/lovagecrank/lovagecrank/cmd/lovagecrank").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
 	return path, nil
-})
+}
+
+// Main runs the tests of a package and removes the program that they have built.
+func Main(m *testing.M) {
+	m.Run()
+	if directory != "" {
+		_ = os.RemoveAll(directory)
+	}
+}
 
 // Start starts the program with the arguments in a process that may open a number of
 // descriptors. The process is killed when the test ends.
 func Start(t testing.TB, descriptors int, args ...string) *Process {
 	t.Helper()
-	binary, err := build()
+	binary, err := built()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -111,9 +127,14 @@
 	return filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), name)
 }
 
-// Settle waits until the process has read or discarded all that was sent to the
+// LoopbackAddress returns a loopback address that other processes hardly use.
+func LoopbackAddress() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
+}
+
+// settle waits until the process has read or discarded all that was sent to the
 // address, but not longer than settleTimeout: a process may leave bytes unread.
-func Settle(address netip.AddrPort) {
+func settle(address netip.AddrPort) {
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && hasUnread(address); {
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/httpapi/header_test.go
+++ b/internal/httpapi/header_test.go
@@ -13,26 +13,19 @@
 	"github.com/matryer/is"
 
 	"github.com/lovagecrank/lovagecrank/footprint"
+	"github.com/lovagecrank/lovagecrank/internal/flood"
 )
 
 const headerLimit = 16 << 10
 
 // oddHeaders are headers of legal size whose decoding takes many times their size.
 var oddHeaders = []struct{ name, lines string }{
-	{"short lines of different names", distinctLines(headerLimit / 5)},
+	{"short lines of different names", flood.DistinctLines(headerLimit / 5)},
 	{"short lines of one name", strings.Repeat("a:b\r\n", headerLimit/5)},
 	{"shortest lines", strings.Repeat("a:\n", headerLimit/3)},
 	{"continued lines", "a:b\n" + strings.Repeat(" c\n", headerLimit/3)},
 	{"a long line", "a: " + strings.Repeat("x", headerLimit) + "\n"},
-	{"names that are not canonical", strings.ToUpper(distinctLines(headerLimit / 5))},
-}
-
-func distinctLines(n int) string {
-	var b strings.Builder
-	for i := range n {
-		fmt.Fprintf(&b, "%c%c%c:\n", 'a'+i/26/26%26, 'a'+i/26%26, 'a'+i%26)
-	}
-	return b.String()
+	{"names that are not canonical", strings.ToUpper(flood.DistinctLines(headerLimit / 5))},
 }
 
 // TestHeaderFitsItsReservation checks that decoding a header takes no more memory than is
@@ -93,7 +86,7 @@
 	is := is.New(t)
 	s, address := startServer(t, bounded(100), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	const unfinished = "GET / HTTP/1.1\r\nHost: h\r\n"
-	header := unfinished + distinctLines(310) // 32 KiB beyond the usual
+	header := unfinished + flood.DistinctLines(310) // 32 KiB beyond the usual
 	var held []net.Conn
 	for range 2 {
 		held = append(held, send(t, address, header))
@@ -114,7 +107,7 @@
 // TestReadAheadIsCounted: the header of a request that arrived with the one before it was
 // decoded without being counted.
 func TestReadAheadIsCounted(t *testing.T) {
-	lines := distinctLines(500)
+	lines := flood.DistinctLines(500)
 	const post = "POST / HTTP/1.1\r\nHost: h\r\n"
 	tests := []struct{ name, first, rest string }{
 		{"after a request", "", smallRequest},
--- a/serve/flood_test.go
+++ b/serve/flood_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,6 +17,8 @@
 	"github.com/lovagecrank/lovagecrank/standin"
 )
 
+func TestMain(m *testing.M) { flood.Main(m) }
+
 // floodLimits are the limits of instances in flood tests.
 var floodLimits = flood.LimitFlags(160)
 
@@ -34,7 +35,7 @@
 	t.Cleanup(platform.Close)
 	c.configure(addressOfServer(platform))
 	c.addEndpoint(0)
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
+	ip := flood.LoopbackAddress()
 	n := &floodedInstance{callers: netip.AddrPortFrom(ip, 7100), operators: netip.AddrPortFrom(ip, 7101)}
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	err := os.WriteFile(path, fmt.Appendf(nil, `instance: {id: entry-0, data_centre: dc, rack: r}
@@ -62,13 +63,6 @@
 	return reply.StatusCode
 }
 
-// check checks an instance while the crowd is there.
-func (n *floodedInstance) check(t *testing.T, flooded netip.AddrPort) {
-	t.Helper()
-	flood.Settle(flooded)
-	n.Check(t, floodLimits, func() int { return n.submit(t) })
-}
-
 // TestFloodOfListeners: clients that don't behave took all memory or all descriptors of
 // an instance, at the listener of callers and at that of operators.
 func TestFloodOfListeners(t *testing.T) {
@@ -84,19 +78,16 @@
 		{"operators", operators, slices.Concat(flood.Headers()[:2], flood.UnreadReplies()), func(n *floodedInstance) netip.AddrPort { return n.operators }},
 	}
 	for _, l := range listeners {
-		for _, kind := range l.kinds {
-			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
-				n := newFloodedInstance(t)
-				flood.Hold(t, l.address(n), l.target, kind, floodLimits.Connections)
-				n.check(t, l.address(n))
-			})
-		}
-		for _, kind := range flood.Connections() {
-			t.Run(l.name+" "+kind.Name, func(t *testing.T) {
-				n := newFloodedInstance(t)
-				flood.Hold(t, l.address(n), l.target, kind, floodLimits.ManyConnections())
-				n.check(t, l.address(n))
-			})
+		hold := func(kinds []flood.Kind, connections int) {
+			for _, kind := range kinds {
+				t.Run(l.name+" "+kind.Name, func(t *testing.T) {
+					n := newFloodedInstance(t)
+					flood.Hold(t, l.address(n), l.target, kind, connections)
+					n.Check(t, floodLimits, l.address(n), func() int { return n.submit(t) })
+				})
+			}
 		}
+		hold(l.kinds, floodLimits.Connections)
+		hold(flood.Connections(), floodLimits.ManyConnections())
 	}
 }
