--- a/command/serve.go
+++ b/command/serve.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/serve"
 )
 
@@ -21,7 +20,7 @@
 		if err != nil {
 			return err
 		}
-		limitCollector(footprint.Limits{InstanceBytes: cfg.Limits.Memory})
+		limitCollector(cfg.Limits.Footprint())
 		stop, force, cleanup := stopSignals(ctx)
 		defer cleanup()
 		logger := log.With(newLogger(s.err), "instance", cfg.Instance.ID)
--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -63,6 +63,13 @@
 		limit int64
 		used  atomic.Int64
 	}
+
+	// Arrival is the reservation of a body while it arrives. The budget may be nil; then
+	// nothing is reserved. It is not safe for concurrent use.
+	Arrival struct {
+		Budget   *Budget
+		reserved int64
+	}
 )
 
 // WithDefaults returns the limits with the defaults of fields that are not positive.
@@ -88,17 +95,6 @@
 // releases what it has reserved.
 func (b *Budget) Reserve(n int64) (ok bool) { return b.reserve(n, b.limit) }
 
-// ReserveArriving is like Reserve, for the next bytes of a body that has size bytes with
-// them. All bodies but small ones leave a part of the budget to others, since they may
-// never be complete.
-func (b *Budget) ReserveArriving(n, size int64) (ok bool) {
-	limit := b.limit
-	if size > SmallBodyBytes {
-		limit = int64(arrivingShare * float64(limit))
-	}
-	return b.reserve(n, limit)
-}
-
 func (b *Budget) reserve(n, limit int64) (ok bool) {
 	for {
 		used := b.used.Load()
@@ -111,6 +107,32 @@
 	}
 }
 
+// Grow reserves as many bytes as the body takes, with what is reserved already, and reports
+// whether they were left. The body has size bytes so far. All bodies but small ones leave a
+// part of the budget to others, since they may never be complete.
+func (a *Arrival) Grow(bytes, size int64) (ok bool) {
+	if a.Budget == nil || bytes <= a.reserved {
+		return true
+	}
+	limit := a.Budget.limit
+	if size > SmallBodyBytes {
+		limit = int64(arrivingShare * float64(limit))
+	}
+	if !a.Budget.reserve(bytes-a.reserved, limit) {
+		return false
+	}
+	a.reserved = bytes
+	return true
+}
+
+// Release returns all that is reserved.
+func (a *Arrival) Release() {
+	if a.reserved > 0 {
+		a.Budget.Release(a.reserved)
+		a.reserved = 0
+	}
+}
+
 // Release returns bytes that were reserved.
 func (b *Budget) Release(n int64) { b.used.Add(-n) }
 
--- a/footprint/footprint_test.go
+++ b/footprint/footprint_test.go
@@ -59,3 +59,23 @@
 	b.Release(1000)
 	is.Equal(b.Used(), int64(0))
 }
+
+// TestArrivalLeavesRoomForSmallBodies checks that large bodies that arrive leave a quarter of
+// the budget to small ones, and that all is free again when they are released.
+func TestArrivalLeavesRoomForSmallBodies(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(Limits{InstanceBytes: 160 << 10}) // 40 KiB, 30 for large bodies
+	large, other, small := Arrival{Budget: b}, Arrival{Budget: b}, Arrival{Budget: b}
+	is.True(large.Grow(8<<10, 8<<10))
+	is.True(large.Grow(30<<10, 30<<10))
+	is.True(large.Grow(20<<10, 20<<10)) // it has more already
+	is.Equal(b.Used(), int64(30<<10))
+	is.True(!other.Grow(5<<10, 5<<10))
+	is.True(small.Grow(4<<10, SmallBodyBytes))
+	for _, a := range []*Arrival{&large, &other, &small, {}} {
+		a.Release()
+		a.Release()
+	}
+	is.Equal(b.Used(), int64(0))
+	is.True((&Arrival{}).Grow(1<<40, 1<<40)) // without a budget
+}
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/footprint"
 )
 
 const (
@@ -22,9 +23,9 @@
 	ended   bool
 	conn    *conn
 	request *http.Request
-	// size is the number of bytes that have arrived, and reserved what is reserved
-	// for them.
-	size, reserved int64
+	// size is the number of bytes that have arrived, for which arrival reserves.
+	size    int64
+	arrival footprint.Arrival
 }
 
 // Read implements [io.Reader]. With the end of the body the request has been read whole.
@@ -46,21 +47,10 @@
 
 // reserve reserves memory for what has arrived.
 func (b *requestBody) reserve() error {
-	bodies, needed := b.conn.server.bodies, bodyFactor*b.size
-	if bodies == nil || needed <= b.reserved {
-		return nil
-	}
-	needed = (needed + bodyStep - 1) / bodyStep * bodyStep
-	if !bodies.ReserveArriving(needed-b.reserved, b.size) {
+	steps := (bodyFactor*b.size + bodyStep - 1) / bodyStep
+	if !b.arrival.Grow(steps*bodyStep, b.size) {
+		bodies := b.arrival.Budget
 		return fault.New(fault.QueueFull, "the bodies of requests take %d of %d bytes", bodies.Used(), bodies.Limit()).WithRetryAfter(refusalRetryAfter)
 	}
-	b.reserved = needed
 	return nil
 }
-
-// release returns what is reserved when the request has been answered.
-func (b *requestBody) release() {
-	if b.reserved > 0 {
-		b.conn.server.bodies.Release(b.reserved)
-	}
-}
--- a/internal/httpapi/conn.go
+++ b/internal/httpapi/conn.go
@@ -138,7 +138,7 @@
 	body := appendFailure(nil, "", f)
 	_ = c.SetDeadline(now.Add(refusalDrainTime))
 	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %d\r\nConnection: close\r\n\r\n%s",
-		len(body), int64((f.RetryAfter+time.Second-1)/time.Second), body)
+		len(body), retryAfterSeconds(f.RetryAfter), body)
 	if err == nil {
 		drain(c, now.Add(refusalDrainTime), refusalDrainBytes)
 	}
@@ -152,11 +152,8 @@
 	}
 }
 
-// connOf returns the connection of a request, or nil in tests without one.
-func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	return c
-}
+// connOf returns the connection of a request.
+func connOf(r *http.Request) *conn { return r.Context().Value(connKey{}).(*conn) }
 
 // withConn is the ConnContext of a server.
 func withConn(ctx context.Context, c net.Conn) context.Context {
--- a/internal/httpapi/reply.go
+++ b/internal/httpapi/reply.go
@@ -30,10 +30,12 @@
 	if d <= 0 {
 		return
 	}
-	seconds := int64((d + time.Second - 1) / time.Second)
-	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	w.Header().Set("Retry-After", strconv.FormatInt(retryAfterSeconds(d), 10))
 }
 
+// retryAfterSeconds returns d in seconds, rounded up.
+func retryAfterSeconds(d time.Duration) int64 { return int64((d + time.Second - 1) / time.Second) }
+
 // AppendFault appends the JSON object that describes the error: code, kind,
 // reason, remedy and, if set, the retry delay in milliseconds.
 func AppendFault(b []byte, f *fault.Error) []byte {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -199,19 +199,15 @@
 func (s *Server) trackRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
-		if c == nil {
-			h.ServeHTTP(w, r)
-			return
-		}
 		if !c.serve(r.ContentLength) {
 			panic(http.ErrAbortHandler) // the connection is closed; a return would be a reply
 		}
 		defer func() { c.entry.Wait(time.Now().Add(replyTime)) }()
 		if r.ContentLength != 0 {
-			body := &requestBody{ReadCloser: r.Body, conn: c, request: r}
+			body := &requestBody{ReadCloser: r.Body, conn: c, request: r, arrival: footprint.Arrival{Budget: s.bodies}}
 			defer func() {
 				c.unread.Store(!body.ended)
-				body.release()
+				body.arrival.Release()
 			}()
 			r.Body = body
 		}
--- a/runner/memory.go
+++ b/runner/memory.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagecrank/lovagecrank/admission"
 	"github.com/lovagecrank/lovagecrank/fault"
+	"github.com/lovagecrank/lovagecrank/footprint"
 	"github.com/lovagecrank/lovagecrank/pool"
 )
 
@@ -17,9 +18,9 @@
 
 // BodyMemory is the memory that is reserved for a body while it arrives.
 type BodyMemory struct {
-	runner *Runner
-	id     string
-	size   int64
+	runner  *Runner
+	id      string
+	arrival footprint.Arrival
 }
 
 // reserveJob reserves the memory of a job until it is answered.
@@ -50,20 +51,18 @@
 
 // NewBodyMemory returns the memory of the body of a submission, of which nothing has
 // arrived.
-func (r *Runner) NewBodyMemory(id string) *BodyMemory { return &BodyMemory{runner: r, id: id} }
+func (r *Runner) NewBodyMemory(id string) *BodyMemory {
+	return &BodyMemory{runner: r, id: id, arrival: footprint.Arrival{Budget: r.memory}}
+}
 
 // Grow reserves memory for a body of which size bytes may have arrived, or returns why it
 // is refused.
 func (b *BodyMemory) Grow(size int64) *fault.Error {
-	if !b.runner.memory.ReserveArriving(size-b.size, size) {
+	if !b.arrival.Grow(size, size) {
 		return b.runner.memoryFull(b.id, size)
 	}
-	b.size = size
 	return nil
 }
 
 // Release returns all that is reserved.
-func (b *BodyMemory) Release() {
-	b.runner.memory.Release(b.size)
-	b.size = 0
-}
+func (b *BodyMemory) Release() { b.arrival.Release() }
--- a/serve/servers.go
+++ b/serve/servers.go
@@ -11,7 +11,7 @@
 // buildServers creates the HTTP servers for callers and operators.
 func (p *program) buildServers(configs tlsConfigs, record func(event.Record)) {
 	limits := callerLimits(p.cfg.Limits)
-	instanceLimits := footprint.Limits{InstanceBytes: p.cfg.Limits.Memory, Descriptors: p.cfg.Limits.Descriptors}
+	instanceLimits := p.cfg.Limits.Footprint()
 	bounds := httpapi.Bounds{
 		Connections: instanceLimits.CallerConnections(),
 		Headers:     footprint.NewHeaderBudget(instanceLimits),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -122,6 +122,11 @@
 // IsZero reports whether no file is set.
 func (f Files) IsZero() bool { return f == Files{} }
 
+// Footprint returns the limits of what clients may take of the instance.
+func (l Limits) Footprint() footprint.Limits {
+	return footprint.Limits{InstanceBytes: l.Memory, Descriptors: l.Descriptors}
+}
+
 // Default returns the default settings.
 func Default() Settings {
 	return Settings{
